--- /dev/null
+++ b/src/choice.cpp
@@ -0,0 +1,892 @@
+// Every decision of a tideline sidecar: which pod gets an invocation, when one is given up, which build is
+// voted on or back. Interface: choice.hpp (Choice is told what happens, Host is how it acts), words.hpp.
+// How to call it: make one Choice for each sidecar with what is told at start; call the method for each thing
+// that happens, with the time; it acts through Host before the call returns. Nothing is shared among
+// sidecars. The design it follows, and each exception with the conditions under which it acts:
+// docs/design.md.
+#include "choice.hpp"
+
+#include <cmath>
+#include <limits>
+#include <random>
+#include <set>
+#include <stdexcept>
+
+#include "samples.hpp"
+
+namespace tideline {
+namespace {
+
+// --- Constants: unit, and the reason for the size -------------------------------------------------------
+// The judge (values of the design page).
+constexpr double kPriorBad = 0.4;     // share: builds held to be bad before anything is seen
+constexpr double kBadMean = 2;        // z: mean of a bad operation's score, unit normal
+constexpr double kErrorFloor = 0.02;  // share: least standard error of a difference of failure shares
+constexpr double kLeastFailures = 3;  // answers: below this a score is 0
+constexpr double kMarkAt = 0.05;      // lfdr: largest mean T of the group that is marked
+constexpr double kHoldAt = 0.2;       // lfdr: a T below this is reason to hold a vote
+constexpr Seconds kHoldMost = 2;      // s a stage: the design's longest hold
+constexpr Seconds kJudgeEvery = 1;    // s: the design scores once a second
+// The judge (ours).
+constexpr double kSlowTimes = 2;         // multiple of the earlier build's median time that counts as slow
+constexpr double kSlowFloor = 0.1;       // share: slowness differs by machine too, so its error is larger
+constexpr std::size_t kTimesKept = 64;   // answers an operation: enough for a steady median
+constexpr std::size_t kTimesLeast = 12;  // answers: fewer give no median to go by
+constexpr double kColdUncounted = 0.5;   // share of the warm-up: answers of a younger pod are no evidence
+// Votes.
+constexpr double kRenewFrom = 0.72;  // share of a vote's life: renewals fall between these two, late
+constexpr double kRenewTo = 0.9;     // and scattered, with time left for a second try
+constexpr Seconds kVoteAgain = 0.3;  // s: wait after a vote that failed, scattered by half
+// Routing.
+constexpr std::size_t kAnswersKept = 24;  // answers a pod: some seconds of its traffic
+constexpr std::size_t kPresent = 6;       // answers: the run whose mean is an answer time
+constexpr double kSlack = 2;              // the in-flight limit holds while present time <= this x shortest
+constexpr int kHeadroom = 2;              // dispatches: lets a limit grow again
+constexpr int kLimitUnknown = 8;          // dispatches: limit of a pod of which nothing is known
+constexpr double kCrossLocation = 1.3;    // multiple: cost of a pod elsewhere, where crossing has a price
+constexpr double kTrialPatience =
+    2;                               // multiple: a trial pod this much worse than an earlier one is passed by
+constexpr Seconds kRestFirst = 0.5;  // s: first rest of a pod that failed; doubles
+constexpr Seconds kRestMost = 6;     // s: longest rest, about as late as lists tell of a death
+constexpr Seconds kRestFull = 0.1;   // s: rest of a pod that turned work away
+constexpr double kSilentTimes = 3;   // multiple of an operation's slow answer (90%): then a pod is silent
+constexpr double kSilentShare = 0.6;    // share of the SLO time: ... or at this, so that a second try fits
+constexpr double kOverShare = 1.25;     // multiple of a customer's share: beyond it first to be throttled
+constexpr Seconds kRecent = 3;          // s: stretch over which own traffic is looked at
+constexpr double kComeBackLeast = 0.5;  // share of the longest come-back time: scattered from here up
+// Rules.
+constexpr double kColdSafety = 0.6;   // share of what would push a cold pod over, all sidecars together
+constexpr Seconds kCarriedOver = 10;  // s: stretch that shows what the other pods carry
+constexpr Seconds kBeat = 0.02;       // s: how often what waits is looked at; small beside any SLO time
+constexpr Seconds kAskAgain = 0.4;    // s: first wait after the list was lost; doubles, scattered
+constexpr Seconds kAskMost = 3;  // s: longest such wait, well inside the time after which we count as told
+
+constexpr Seconds kNever = -std::numeric_limits<double>::infinity();
+constexpr AlarmId kBeatAlarm{1};
+
+enum class Effect { idempotent, fingerprinted, side_effecting };
+enum class Group { all, location, cell };
+
+// What an operation is promised (read at start).
+struct Cover {
+    Seconds slo_time = 0, time_limit = 0, repeat_window = 0;
+    double billed_value = 1, late_share = 0;
+    Effect effect = Effect::idempotent;
+    Group group = Group::all;
+    LastFew<double> times{kTimesKept};  // answer times, any pod
+    Seconds usual() const { return times.empty() ? slo_time / 4 : quantile(times, 0.5); }
+};
+
+struct Answer {
+    double relative;  // answer time over the operation's usual one
+    int out;          // own dispatches at the pod when it was sent
+};
+
+struct Pod {
+    PodLine line;
+    int out = 0;
+    LastFew<Answer> answers{kAnswersKept};
+    Seconds last_answer = kNever;
+    Seconds rest_until = kNever, rest_for = 0;
+    bool proving = false, probed = false;  // back from a rest: one dispatch until it answers
+    Stretch work;                          // sent here, for the cold guard
+};
+
+struct Dispatch {
+    PodId pod;
+    Location location;
+    Cell cell;
+    Build build;
+    Seconds sent = 0;
+    int out_then = 0;
+    bool cold = false, ended = false, may_have_run = true, withdrawn = false, streaming = false;
+};
+
+struct Invocation {
+    Operation op;
+    Customer customer;
+    std::optional<ObjectKey> key;
+    Seconds taken = 0, ends = 0;
+    double work = 1;
+    std::vector<Dispatch> dispatches;
+    bool concluded = false, waiting = false;
+    bool out() const { return !dispatches.empty() && !dispatches.back().ended; }
+    bool may_have_run() const {
+        return std::any_of(dispatches.begin(), dispatches.end(), [](auto& d) { return d.may_have_run; });
+    }
+};
+
+// What the judge counts for one operation in a stage.
+struct Tally {
+    double seen = 0, failed = 0, slow_seen = 0, slow = 0;
+};
+
+enum class Fault { failing, slow };
+using Charge = std::pair<Operation, Fault>;  // what a build may be marked for
+
+struct News {
+    Build build;
+    Stage stage;
+    Phase phase = Phase::trial;
+    double cap = 0;
+    Seconds began = 0;
+};
+
+}  // namespace
+
+struct Choice::Desk {
+    Host& host;
+    const Terms terms;
+    std::ranlux24_base chance;
+    const Seconds start;
+    Seconds now;
+
+    std::vector<Cover> covers;
+    std::map<PodId, Pod> pods;
+    std::size_t most_ready = 1;  // the most pods ever listed as ready at once
+    std::map<InvId, Invocation> open;
+    std::deque<InvId> waiting;
+    std::uint64_t turn = 0;  // of the rotation
+    Stretch served;
+    std::map<Customer, Stretch> taken_from;
+    Stretch taken_all;
+    bool limit_noted = false;
+
+    std::optional<News> news;
+    std::map<Operation, Stretch> taken_by;
+    std::map<std::pair<Build, Operation>, Stretch> exposed;
+    Seconds afresh = kNever;
+    std::map<ObjectKey, Build> answered_by;  // keys that a build on trial has answered (one-way keys)
+
+    Build judged;
+    Stage judged_stage;
+    std::map<Operation, Tally> fresh, earlier, earlier_before;
+    std::map<Operation, LastFew<double>> earlier_times;
+    std::map<Charge, double> finished;  // sum of the log likelihood ratios of finished stages
+    std::map<Charge, double> lfdr;
+    std::set<Charge> marks;
+    Seconds next_judging = 0;
+
+    Vote standing = Vote::none, asked = Vote::none;
+    Build vote_build;
+    Stage vote_stage;
+    Seconds vote_due = kNever, vote_sent = kNever;
+    bool vote_open = false;
+
+    Seconds ask_at = kNever, ask_wait = kAskAgain;
+    bool ask_whole = false;
+
+    Desk(Host& h, const Terms& t, std::uint64_t seed, Seconds at)
+        : host(h), terms(t), chance(static_cast<std::uint32_t>(seed ^ (seed >> 32))), start(at), now(at) {
+        read_terms();
+        host.alarm(kBeat, kBeatAlarm);
+        if (word("list.told", "unasked") == "asked") host.follow_list();
+    }
+
+    // --- Terms ------------------------------------------------------------------------------------------
+    double figure(const std::string& name, std::optional<double> otherwise, double least, double most) const {
+        const auto it = terms.find(name);
+        if (it == terms.end()) {
+            if (otherwise) return *otherwise;
+            throw std::invalid_argument("missing term: " + name);
+        }
+        const double* value = std::get_if<double>(&it->second);
+        if (!value || !(*value >= least && *value <= most))
+            throw std::invalid_argument("term out of range: " + name);
+        return *value;
+    }
+    double need(const std::string& name, double least = 0, double most = 1e9) const {
+        return figure(name, std::nullopt, least, most);
+    }
+    double have(const std::string& name, double otherwise) const {
+        return figure(name, otherwise, -1e18, 1e18);
+    }
+    std::string word(const std::string& name, std::optional<std::string> otherwise = std::nullopt) const {
+        const auto it = terms.find(name);
+        const std::string* value = it == terms.end() ? nullptr : std::get_if<std::string>(&it->second);
+        if (value) return *value;
+        if (it == terms.end() && otherwise) return *otherwise;
+        throw std::invalid_argument("missing term: " + name);
+    }
+    template <class Enum>
+    Enum one_of(const std::string& name, const std::map<std::string, Enum>& known,
+                std::optional<std::string> otherwise = std::nullopt) const {
+        const auto it = known.find(word(name, otherwise));
+        if (it == known.end()) throw std::invalid_argument("term out of range: " + name);
+        return it->second;
+    }
+
+    Seconds drain_grace, fall_window, warm_within, window, least_time, vote_life, vote_wait;
+    double cold_share, fall_multiple, allowance, first_cap, over_share_value;
+    int guarded_stages, dispatches_most;
+    bool per_operation, one_way, by_clock;
+    Location home;
+
+    void read_terms() {
+        const std::map<std::string, Effect> effects = {{"idempotent", Effect::idempotent},
+                                                       {"fingerprinted", Effect::fingerprinted},
+                                                       {"side-effecting", Effect::side_effecting}};
+        const std::map<std::string, Group> groups = {
+            {"all", Group::all}, {"location", Group::location}, {"cell", Group::cell}};
+        const int count = static_cast<int>(need("operations.count", 1, 1e6));
+        for (int i = 0; i < count; ++i) {
+            const std::string at = "operations." + std::to_string(i);
+            Cover cover;
+            cover.slo_time = need(at + ".slo_time");
+            cover.time_limit = need(at + ".time_limit");
+            cover.effect = one_of(at + ".effect", effects);
+            cover.group = one_of(at + ".group", groups, "all");
+            if (cover.effect == Effect::fingerprinted) cover.repeat_window = need(at + ".repeat_window");
+            cover.billed_value = have(at + ".billed_value", 1);
+            cover.late_share = have(at + ".late_share", 0);
+            covers.push_back(cover);
+        }
+        drain_grace = need("rules.drain_grace");
+        cold_share = need("rules.cold_share", 0, 1);
+        warm_within = need("rules.warm_within");
+        fall_multiple = need("rules.fall_multiple");
+        fall_window = need("rules.fall_window");
+        window = need("release.window");
+        allowance = need("release.allowance");
+        first_cap = need("release.caps.0", 0, 1);
+        per_operation = one_of<bool>("release.counted_by", {{"all", false}, {"operation", true}});
+        guarded_stages = static_cast<int>(need("release.guarded_stages"));
+        one_way = have("release.one_way_keys", 0) != 0;
+        by_clock = word("release.moved_by") == "clock";
+        least_time = need("release.least_time");
+        vote_life = need("release.vote_life");
+        vote_wait = need("release.vote_wait");
+        dispatches_most = static_cast<int>(need("allowed.dispatches", 1));
+        over_share_value = have("over_share_value", 1);
+        home = Location{static_cast<int>(have("location", 0))};
+    }
+
+    double draw(double from, double to) {
+        const double unit = static_cast<double>(chance()) / static_cast<double>(chance.max());
+        return from + (to - from) * unit;
+    }
+
+    // --- Rule 5: exposure within the cap ----------------------------------------------------------------
+    // A build that the news does not name yet counts as in the first stage; with no news at all, whatever is
+    // newer than the oldest listed build is held to be on trial.
+    bool on_trial(Build build) const {
+        if (news) return build > news->build || (build == news->build && news->phase != Phase::released);
+        for (const auto& [id, pod] : pods)
+            if (pod.line.state != PodState::gone && pod.line.build < build) return true;
+        return false;
+    }
+    bool named(Build build) const { return news && build == news->build; }
+    double cap_of(Build build) const { return named(build) ? news->cap : first_cap; }
+    int stage_of(Build build) const { return named(build) ? news->stage.value : 0; }
+    Operation slot(Operation op) const { return per_operation ? op : Operation{0}; }
+
+    // Danger: a restart forgets what was sent. For one window after the start the allowance is not used, so
+    // that what went before and what goes now stay within the cap together.
+    bool may_expose(const Invocation& inv, Build build) {
+        if (!on_trial(build)) return true;
+        const double cap = cap_of(build);
+        if (cap <= 0) return false;
+        if (stage_of(build) < guarded_stages && covers[inv.op.value].effect != Effect::idempotent)
+            return false;
+        const Operation at = slot(inv.op);
+        const double taken = taken_by[at].after(std::max(now - window, afresh));
+        const double sent = exposed[{build, at}].since(now - window);
+        const double free = now - start > window ? allowance : 0;
+        return sent + 1 <= free + cap * taken;
+    }
+    // One-way keys: what the new build has answered goes to no lower build until it goes back.
+    bool goes_back_on_key(const Invocation& inv, Build build) const {
+        if (!one_way || !inv.key) return false;
+        const auto it = answered_by.find(*inv.key);
+        return it != answered_by.end() && build < it->second;
+    }
+
+    // --- Rule 4: no cold pod pushed over ----------------------------------------------------------------
+    // Danger: all sidecars together push a fresh pod over, and none sees the others. Each keeps its sends to
+    // a safe share of what an even share of its own served work would be; summed over sidecars of any size
+    // that stays under the pods' capacity, also in a burst, since what is served can't exceed it.
+    bool cold(const Pod& pod) const { return pod.line.started > 0 && now - pod.line.started < warm_within; }
+    bool cold_room(const Pod& pod, double work) const {
+        if (!cold(pod)) return true;
+        const double age = std::max(0.0, now - pod.line.started) / warm_within;
+        const double present = cold_share + (1 - cold_share) * age;
+        const double carried = std::max(served.since(now - kCarriedOver) / kCarriedOver,
+                                        served.since(now - fall_window) / fall_window);
+        const double even = carried * fall_window / static_cast<double>(most_ready);
+        const double sent = pod.work.since(now - fall_window);
+        return sent == 0 || sent + work <= kColdSafety * fall_multiple * present * even;
+    }
+
+    // --- Rule 2: no effect twice ------------------------------------------------------------------------
+    bool may_repeat_at(const Invocation& inv, const PodLine& pod) const {
+        const Cover& cover = covers[inv.op.value];
+        if (cover.effect == Effect::idempotent || !inv.may_have_run()) return true;
+        if (cover.effect == Effect::side_effecting) return false;
+        for (const Dispatch& d : inv.dispatches) {
+            if (!d.may_have_run) continue;
+            if (now > d.sent + cover.repeat_window) return false;
+            if (cover.group == Group::location && pod.location != d.location) return false;
+            if (cover.group == Group::cell && pod.cell != d.cell) return false;
+        }
+        return true;
+    }
+    bool may_throttle(const Invocation& inv) const {
+        return covers[inv.op.value].effect == Effect::idempotent || !inv.may_have_run();
+    }
+
+    // --- Routing ----------------------------------------------------------------------------------------
+    // The mean of the newest answers, relative to what their operations usually take, and the shortest such
+    // mean among the kept ones.
+    static double present(const Pod& pod) {
+        double sum = 0;
+        const std::size_t n = std::min(kPresent, pod.answers.size());
+        for (std::size_t i = pod.answers.size() - n; i < pod.answers.size(); ++i)
+            sum += pod.answers[i].relative;
+        return n == 0 ? 1 : sum / static_cast<double>(n);
+    }
+    static double shortest(const Pod& pod) {
+        double least = present(pod), sum = 0;
+        for (std::size_t i = 0; i < pod.answers.size(); ++i) {
+            sum += pod.answers[i].relative;
+            if (i >= kPresent) sum -= pod.answers[i - kPresent].relative;
+            if (i + 1 >= kPresent) least = std::min(least, sum / static_cast<double>(kPresent));
+        }
+        return least;
+    }
+    // How many dispatches may be out at a pod: what was out lately, by shortest over present answer time.
+    static int in_flight_limit(const Pod& pod) {
+        if (pod.proving) return 1;
+        if (pod.answers.size() < kPresent) return kLimitUnknown;
+        int most = 1;
+        for (const Answer& answer : pod.answers) most = std::max(most, answer.out);
+        const double ratio = std::min(1.0, kSlack * shortest(pod) / std::max(1e-9, present(pod)));
+        return static_cast<int>(most * ratio) + kHeadroom;
+    }
+    double cost(const Pod& pod) const {
+        const double far =
+            pod.line.location != home && have("prices.cross_location", 0) > 0 ? kCrossLocation : 1;
+        return (pod.out + 1) * std::max(0.2, present(pod)) * far / std::max(1e-3, pod.line.weight);
+    }
+    bool resting(const Pod& pod) const { return now < pod.rest_until || (pod.rest_for > 0 && !pod.proving); }
+
+    // All rules about where an invocation may go, in one place.
+    bool may_go(const Invocation& inv, const Pod& pod) {
+        return pod.line.state == PodState::ready && may_repeat_at(inv, pod.line) &&
+               !goes_back_on_key(inv, pod.line.build) && cold_room(pod, inv.work) &&
+               may_expose(inv, pod.line.build);
+    }
+
+    // The build on trial first, as long as its cap has room; else the earlier build. Among pods the cheapest,
+    // ties by rotation. A pod that failed an earlier dispatch of this invocation is the last resort.
+    Pod* pick(const Invocation& inv) {
+        Pod *trial = nullptr, *plain = nullptr, *last = nullptr;
+        double trial_cost = 0, plain_cost = 0, last_cost = 0;
+        const std::size_t n = pods.size();
+        if (n == 0) return nullptr;
+        auto it = std::next(pods.begin(), static_cast<std::ptrdiff_t>(turn % n));
+        for (std::size_t i = 0; i < n; ++i, ++it) {
+            if (it == pods.end()) it = pods.begin();
+            Pod& pod = it->second;
+            if (resting(pod) || pod.out >= in_flight_limit(pod) || !may_go(inv, pod)) continue;
+            const double price = cost(pod);
+            const bool again = std::any_of(inv.dispatches.begin(), inv.dispatches.end(),
+                                           [&](auto& d) { return d.pod == pod.line.pod; });
+            const bool first = on_trial(pod.line.build) && inv.dispatches.empty();
+            Pod*& best = again ? last : first ? trial : plain;
+            double& best_cost = again ? last_cost : first ? trial_cost : plain_cost;
+            if (!best || price < best_cost) best = &pod, best_cost = price;
+        }
+        if (trial && plain && trial_cost > kTrialPatience * plain_cost) trial = nullptr;
+        return trial ? trial : plain ? plain : last;
+    }
+
+    void send(InvId id, Invocation& inv, Pod& pod) {
+        ++turn;
+        Dispatch d;
+        d.pod = pod.line.pod, d.location = pod.line.location, d.cell = pod.line.cell,
+        d.build = pod.line.build;
+        d.sent = now, d.out_then = ++pod.out;
+        d.cold = pod.line.started > 0 && now - pod.line.started < kColdUncounted * warm_within;
+        inv.dispatches.push_back(d);
+        inv.waiting = false;
+        pod.work.add(now, inv.work);
+        pod.work.forget_before(now - fall_window);
+        if (on_trial(d.build)) {
+            auto& window_of = exposed[{d.build, slot(inv.op)}];
+            window_of.add(now);
+            window_of.forget_before(now - window);
+        }
+        host.dispatch(id, d.pod, inv.ends);
+    }
+
+    // Gives an invocation its final answer, at once.
+    void give_up(InvId id, Invocation& inv) {
+        inv.concluded = true;
+        if (may_throttle(inv)) {
+            const double longest = have("allowed.longest_come_back", 0);
+            const bool advice = have("allowed.come_back", 0) != 0;
+            host.throttle(id, advice ? draw(kComeBackLeast, 1) * longest : 0);
+        } else {
+            host.terminate(id);
+        }
+        if (!inv.out()) open.erase(id);
+    }
+
+    // The latest time at which sending still makes sense: an answer then comes within the SLO time.
+    Seconds hope_until(const Invocation& inv) const {
+        const Cover& cover = covers[inv.op.value];
+        const Seconds slo = inv.taken + cover.slo_time - cover.usual();
+        return std::min(std::max(slo, inv.taken), inv.ends - 2 * kBeat);
+    }
+    bool over_share(Customer customer) {
+        const double share = have("customers." + std::to_string(customer.value) + ".share", 1);
+        const double from = taken_from[customer].since(now - kRecent), all = taken_all.since(now - kRecent);
+        return over_share_value < 1 && from > kOverShare * share * all;
+    }
+
+    // Sends an invocation, or lets it wait while there is hope, or gives it up.
+    void place(InvId id, Invocation& inv) {
+        if (static_cast<int>(inv.dispatches.size()) >= dispatches_most) return give_up(id, inv);
+        if (inv.dispatches.empty() && !waiting.empty()) {
+            if (over_share(inv.customer)) return give_up(id, inv);
+        } else if (Pod* pod = pick(inv)) {
+            return send(id, inv, *pod);
+        }
+        const Cover& cover = covers[inv.op.value];
+        if (cover.effect != Effect::idempotent && inv.may_have_run() && !any_place(inv))
+            return give_up(id, inv);
+        const double rate = served.since(now - kRecent) / kRecent;
+        const double wait = rate > 0 ? static_cast<double>(waiting.size()) / rate : 0;
+        if (now + wait > hope_until(inv)) {
+            if (!limit_noted) host.note("limit reached: throttling what can't be answered in time");
+            limit_noted = true;
+            return give_up(id, inv);
+        }
+        inv.waiting = true;
+        waiting.push_back(id);
+    }
+    bool any_place(const Invocation& inv) const {
+        return std::any_of(pods.begin(), pods.end(), [&](auto& entry) {
+            return entry.second.line.state == PodState::ready && may_repeat_at(inv, entry.second.line);
+        });
+    }
+    void serve_waiting() {
+        std::deque<InvId> still;
+        std::swap(still, waiting);
+        for (const InvId id : still) {
+            const auto it = open.find(id);
+            if (it == open.end() || !it->second.waiting) continue;
+            Invocation& inv = it->second;
+            if (Pod* pod = pick(inv))
+                send(id, inv, *pod);
+            else if (now > hope_until(inv))
+                give_up(id, inv);
+            else
+                waiting.push_back(id);
+        }
+        if (waiting.empty()) limit_noted = false;
+    }
+
+    // --- Health of pods ---------------------------------------------------------------------------------
+    void rest(Pod& pod, const char* why) {
+        if (now < pod.rest_until) return;
+        if (pod.rest_for == 0) host.note("pod " + pod.line.pod.value + " left alone: " + why);
+        pod.rest_for = std::min(kRestMost, pod.rest_for == 0 ? kRestFirst : 2 * pod.rest_for);
+        pod.rest_until = now + pod.rest_for * draw(0.75, 1.25);
+        pod.proving = pod.probed = false;
+    }
+    void answered(Pod& pod) {
+        pod.last_answer = now;
+        if (pod.rest_for > 0) host.note("pod " + pod.line.pod.value + " taken back");
+        pod.rest_for = 0, pod.rest_until = kNever, pod.proving = pod.probed = false;
+    }
+    // A rest that is over ends with a probe where probes are allowed, then with a single dispatch.
+    void look_at_resting() {
+        for (auto& [id, pod] : pods) {
+            if (pod.rest_for == 0 || pod.proving || now < pod.rest_until || pod.line.state != PodState::ready)
+                continue;
+            if (have("allowed.probes", 0) == 0)
+                pod.proving = true;
+            else if (!pod.probed)
+                pod.probed = true, host.probe(id);
+        }
+    }
+    // Danger: a pod that takes work and answers nothing holds every invocation sent there until its limit.
+    // Silence longer than slow answers explain, with no other answer since, ends the wait: the pod rests, and
+    // what may run again elsewhere is withdrawn and goes there. May harm a pod with one long piece of work.
+    void look_for_silence() {
+        for (auto& [id, inv] : open) {
+            if (!inv.out()) continue;
+            Dispatch& d = inv.dispatches.back();
+            if (d.withdrawn || d.streaming) continue;
+            const Cover& cover = covers[inv.op.value];
+            const Seconds slow =
+                cover.times.size() < kTimesLeast ? cover.slo_time : quantile(cover.times, 0.9);
+            if (now - d.sent < std::min(kSilentTimes * slow, kSilentShare * cover.slo_time)) continue;
+            Pod& pod = pods[d.pod];
+            if (pod.last_answer >= d.sent) continue;
+            rest(pod, "no answer");
+            const bool again = static_cast<int>(inv.dispatches.size()) < dispatches_most && !inv.concluded &&
+                               cover.effect != Effect::side_effecting && have("allowed.withdraw", 0) != 0 &&
+                               now < hope_until(inv);
+            if (again && any_other(inv)) d.withdrawn = true, host.withdraw(id, last_no(inv));
+        }
+    }
+    static DispatchNo last_no(const Invocation& inv) { return {static_cast<int>(inv.dispatches.size()) - 1}; }
+    bool any_other(const Invocation& inv) {
+        return std::any_of(pods.begin(), pods.end(), [&](auto& entry) {
+            return entry.first != inv.dispatches.back().pod && !resting(entry.second) &&
+                   may_go(inv, entry.second);
+        });
+    }
+
+    // --- The judge --------------------------------------------------------------------------------------
+    void open_stage(bool new_build) {
+        if (new_build) {
+            finished.clear(), marks.clear(), earlier_before.clear();
+        } else {
+            for (const auto& [charge, ratio] : current_ratios()) finished[charge] += ratio;
+            for (const auto& [op, tally] : earlier) earlier_before[op] = tally;
+        }
+        fresh.clear(), earlier.clear(), lfdr.clear();
+        judged = news->build, judged_stage = news->stage;
+    }
+    // The z-score of the difference of two shares, with the standard error of no difference, floored.
+    static double z_score(double bad, double of, double bad_before, double of_before, double floor) {
+        if (bad < kLeastFailures || of <= 0 || of_before <= 0) return 0;
+        const double pooled = std::min(1.0, (bad + bad_before) / (of + of_before));
+        const double error = std::sqrt(pooled * (1 - pooled) * (1 / of + 1 / of_before));
+        return (bad / of - bad_before / of_before) / std::max(floor, error);
+    }
+    // log(f1/f0) of each charge's score in the present stage: both unit normal, f1 with mean kBadMean.
+    std::map<Charge, double> current_ratios() {
+        std::map<Charge, double> ratios;
+        for (int i = 0; i < static_cast<int>(covers.size()); ++i) {
+            const Operation op{i};
+            const Tally& now_new = fresh[op];
+            // Where the earlier build gets nothing any more, its last known shares stand.
+            const Tally& old = earlier[op].seen > 0 ? earlier[op] : earlier_before[op];
+            const double failing = z_score(now_new.failed, now_new.seen, old.failed, old.seen, kErrorFloor);
+            const double slow = z_score(now_new.slow, now_new.slow_seen, old.slow, old.slow_seen, kSlowFloor);
+            ratios[{op, Fault::failing}] = kBadMean * failing - kBadMean * kBadMean / 2;
+            ratios[{op, Fault::slow}] = kBadMean * slow - kBadMean * kBadMean / 2;
+        }
+        return ratios;
+    }
+    void judge() {
+        if (!news || (news->phase != Phase::trial && news->phase != Phase::released)) return;
+        std::vector<std::pair<double, Charge>> sorted;
+        for (const auto& [charge, ratio] : current_ratios()) {
+            const double odds =
+                kPriorBad / (1 - kPriorBad) * std::exp(std::min(500.0, finished[charge] + ratio));
+            lfdr[charge] = 1 / (1 + odds);
+            if (!marks.contains(charge)) sorted.push_back({lfdr[charge], charge});
+        }
+        std::sort(sorted.begin(), sorted.end());
+        double sum = 0;
+        std::size_t marked = 0;
+        for (std::size_t i = 0; i < sorted.size(); ++i) {
+            sum += sorted[i].first;
+            if (sum / static_cast<double>(i + 1) <= kMarkAt) marked = i + 1;
+        }
+        for (std::size_t i = 0; i < marked; ++i) {
+            const auto& [op, fault] = sorted[i].second;
+            marks.insert(sorted[i].second);
+            host.note("build " + std::to_string(judged.value) + " marked in stage " +
+                      std::to_string(judged_stage.value) + ": operation " + std::to_string(op.value) +
+                      (fault == Fault::failing ? " fails: " : " is slow: ") + describe(op, fault));
+        }
+    }
+    std::string describe(Operation op, Fault fault) {
+        const auto part = [&](const Tally& t) {
+            const double bad = fault == Fault::failing ? t.failed : t.slow;
+            const double of = fault == Fault::failing ? t.seen : t.slow_seen;
+            return std::to_string(static_cast<int>(bad)) + " of " + std::to_string(static_cast<int>(of));
+        };
+        return part(fresh[op]) + ", earlier build " + part(earlier[op]);
+    }
+    // Evidence: answers and errors of pods past their cold start. Full refusals, lost connections and silence
+    // say something of a machine, not of its build; they go to the pod's health.
+    void count_evidence(const Invocation& inv, const Dispatch& d, Outcome outcome, Seconds took) {
+        if (!news || d.cold || d.build > judged) return;
+        if (outcome != Outcome::succeeded && outcome != Outcome::failed) return;
+        Tally& tally = (d.build == judged ? fresh : earlier)[inv.op];
+        tally.seen += 1;
+        if (outcome == Outcome::failed) {
+            tally.failed += 1;
+            return;
+        }
+        auto& times = earlier_times.try_emplace(inv.op, kTimesKept).first->second;
+        if (times.size() >= kTimesLeast) {
+            tally.slow_seen += 1;
+            if (took > kSlowTimes * quantile(times, 0.5)) tally.slow += 1;
+        }
+        if (d.build < judged || news->phase != Phase::trial) times.add(took);
+    }
+
+    // --- Votes ------------------------------------------------------------------------------------------
+    Vote wanted() const {
+        if (!news || (news->phase != Phase::trial && news->phase != Phase::released)) return Vote::none;
+        if (!marks.empty()) return Vote::back;
+        if (news->phase == Phase::released) return Vote::none;
+        const Seconds age = now - news->began;
+        const bool suspicious =
+            std::any_of(lfdr.begin(), lfdr.end(), [](auto& t) { return t.second < kHoldAt; });
+        if (by_clock) return suspicious && age < kHoldMost ? Vote::hold : Vote::none;
+        if (age < least_time || (suspicious && age < least_time + kHoldMost)) return Vote::none;
+        return Vote::on;
+    }
+    // A vote goes out when it differs from the one that stands, and is renewed late in its life at a
+    // scattered time; after an error, or no answer, it is sent again. Only for what the news names.
+    void cast_votes() {
+        if (!news) return;
+        if (vote_open && now - vote_sent > vote_wait + kVoteAgain) vote_open = false, vote_due = now;
+        if (vote_open) return;
+        const Vote want = wanted();
+        const bool same = want == standing && vote_build == news->build &&
+                          (want == Vote::back || vote_stage == news->stage);
+        if (want == Vote::none && (standing == Vote::none || vote_build != news->build)) return;
+        if (now < vote_due && (same || asked == want)) return;
+        if (want != asked || vote_build != news->build)
+            host.note(std::string("vote ") +
+                      (want == Vote::on     ? "on"
+                       : want == Vote::back ? "back"
+                       : want == Vote::hold ? "hold"
+                                            : "none") +
+                      ": build " + std::to_string(news->build.value) + " stage " +
+                      std::to_string(news->stage.value));
+        asked = want, vote_build = news->build, vote_stage = news->stage;
+        vote_open = true, vote_sent = now;
+        host.vote(vote_build, vote_stage, want);
+    }
+
+    // --- The list ---------------------------------------------------------------------------------------
+    void ask_for_list() {
+        if (ask_at == kNever || now < ask_at) return;
+        ask_at = kNever;
+        if (ask_whole) host.fetch_list();
+        host.follow_list();
+    }
+
+    void beat() {
+        host.alarm(kBeat, kBeatAlarm);
+        ask_for_list();
+        look_for_silence();
+        look_at_resting();
+        serve_waiting();
+        if (now >= next_judging) {
+            next_judging = now + kJudgeEvery;
+            judge();
+        }
+        cast_votes();
+    }
+
+    // --- What happens -----------------------------------------------------------------------------------
+    void listed(ListKind kind, const std::vector<PodLine>& lines) {
+        if (kind != ListKind::changes)
+            for (auto& [id, pod] : pods) pod.line.state = PodState::gone;
+        for (const PodLine& line : lines) {
+            Pod& pod = pods[line.pod];
+            // The same id may come back as another machine, or with another build: nothing known holds.
+            if (pod.line.started != line.started || pod.line.build != line.build) {
+                Pod fresh_start;
+                fresh_start.out = pod.out;
+                std::swap(pod, fresh_start);
+            }
+            pod.line = line;
+        }
+        std::size_t ready = 0;
+        for (const auto& [id, pod] : pods) ready += pod.line.state == PodState::ready;
+        most_ready = std::max(most_ready, ready);
+        if (kind != ListKind::warm_copy) ask_wait = kAskAgain, ask_whole = false;
+        serve_waiting();
+    }
+    // Danger: without a watch we count as told of changes we never saw. Ask again, scattered; after a second
+    // loss ask for the whole list too.
+    void lost() {
+        ask_at = now + ask_wait * draw(0.5, 1);
+        ask_whole = ask_wait > kAskAgain;
+        ask_wait = std::min(kAskMost, 2 * ask_wait);
+    }
+
+    void taken(InvId id, Operation op, Customer customer, std::optional<ObjectKey> key, Seconds budget,
+               std::optional<Seconds> work) {
+        if (op.value < 0 || op.value >= static_cast<int>(covers.size())) return;
+        taken_by[slot(op)].add(now);
+        taken_by[slot(op)].forget_before(now - window);
+        for (Stretch* stretch : {&taken_from[customer], &taken_all}) {
+            stretch->add(now);
+            stretch->forget_before(now - kRecent);
+        }
+        Invocation inv;
+        inv.op = op, inv.customer = customer, inv.key = key;
+        inv.taken = now, inv.ends = now + budget;
+        if (work) inv.work = *work;
+        auto& kept = open.insert_or_assign(id, std::move(inv)).first->second;
+        place(id, kept);
+    }
+
+    void ended(InvId id, DispatchNo no, const PodId& pod_id, Outcome outcome, Seconds took, bool concluded) {
+        const auto it = open.find(id);
+        if (it == open.end()) return;
+        Invocation& inv = it->second;
+        if (no.value < 0 || no.value >= static_cast<int>(inv.dispatches.size())) return;
+        Dispatch& d = inv.dispatches[no.value];
+        if (d.ended || d.pod != pod_id) return;
+        d.ended = true;
+        d.may_have_run =
+            outcome != Outcome::full && outcome != Outcome::unreachable && outcome != Outcome::moot;
+        Pod& pod = pods[d.pod];
+        pod.out = std::max(0, pod.out - 1);
+        Cover& cover = covers[inv.op.value];
+        switch (outcome) {
+            case Outcome::succeeded:
+                answered(pod);
+                pod.answers.add({took / std::max(1e-6, cover.usual()), d.out_then});
+                cover.times.add(took);
+                served.add(now, inv.work);
+                served.forget_before(now - kCarriedOver - fall_window);
+                if (one_way && inv.key && on_trial_or_newest(d.build)) answered_by[*inv.key] = d.build;
+                break;
+            case Outcome::failed:
+                answered(pod);
+                break;
+            case Outcome::full:
+                pod.last_answer = now;
+                pod.rest_until = std::max(pod.rest_until, now + kRestFull * draw(0.75, 1.25));
+                break;
+            case Outcome::unreachable:
+                rest(pod, "can't be reached");
+                break;
+            case Outcome::broken:
+                rest(pod, "connection broke");
+                break;
+            case Outcome::timed_out:
+                if (pod.last_answer < d.sent) rest(pod, "no answer");
+                break;
+            case Outcome::withdrawn:
+            case Outcome::moot:
+                break;
+        }
+        count_evidence(inv, d, outcome, took);
+        if (concluded) inv.concluded = true;
+        if (inv.concluded)
+            open.erase(it);
+        else if (outcome == Outcome::timed_out && now >= inv.ends - kBeat)
+            give_up(id, inv);
+        else if (outcome == Outcome::moot)
+            give_up(id, inv);
+        else
+            place(id, inv);
+        serve_waiting();
+    }
+    bool on_trial_or_newest(Build build) const { return on_trial(build) || named(build); }
+
+    void dropped(InvId id) {
+        const auto it = open.find(id);
+        if (it == open.end()) return;
+        it->second.concluded = true;
+        it->second.waiting = false;
+        if (!it->second.out()) open.erase(it);
+    }
+
+    void probed(const PodId& id, Outcome outcome) {
+        const auto it = pods.find(id);
+        if (it == pods.end() || !it->second.probed) return;
+        Pod& pod = it->second;
+        if (outcome == Outcome::succeeded)
+            pod.proving = true;
+        else
+            rest(pod, "probe failed");
+    }
+
+    void told_stage(Build build, Stage stage, Phase phase, double cap, Seconds age) {
+        const bool new_build = !news || build != news->build;
+        if (!new_build && cap < news->cap) afresh = now + drain_grace;
+        if (phase == Phase::reverting || phase == Phase::withdrawn) answered_by.clear();
+        news = News{build, stage, phase, cap, now - age};
+        if (build > judged)
+            open_stage(true);
+        else if (build == judged && stage > judged_stage)
+            open_stage(false);
+        serve_waiting();
+    }
+
+    // Danger: a vote that was not counted is held to stand. Only a counted one stands; the rest go again.
+    void vote_told(VoteReply reply) {
+        if (!vote_open) return;
+        vote_open = false;
+        standing = reply == VoteReply::counted ? asked : Vote::none;
+        if (reply == VoteReply::counted)
+            vote_due = now + vote_life * draw(kRenewFrom, kRenewTo);
+        else
+            vote_due = now + kVoteAgain * draw(0.5, 1.5);
+    }
+};
+
+Choice::Choice(Host& host, const Terms& terms, std::uint64_t seed, Seconds now)
+    : desk_(std::make_unique<Desk>(host, terms, seed, now)) {}
+Choice::~Choice() = default;
+
+void Choice::pods_listed(Seconds now, ListKind kind, const std::vector<PodLine>& lines) {
+    desk_->now = now;
+    desk_->listed(kind, lines);
+}
+void Choice::list_lost(Seconds now) {
+    desk_->now = now;
+    desk_->lost();
+}
+void Choice::invocation_taken(Seconds now, InvId inv, Operation op, Customer customer,
+                              std::optional<ObjectKey> key, Seconds budget, std::optional<Seconds> work) {
+    desk_->now = now;
+    desk_->taken(inv, op, customer, key, budget, work);
+}
+void Choice::stream_begun(Seconds now, InvId inv, DispatchNo no) {
+    desk_->now = now;
+    const auto it = desk_->open.find(inv);
+    if (it == desk_->open.end() || no.value >= static_cast<int>(it->second.dispatches.size())) return;
+    Dispatch& d = it->second.dispatches[no.value];
+    d.streaming = true;
+    desk_->answered(desk_->pods[d.pod]);
+}
+void Choice::dispatch_ended(Seconds now, InvId inv, DispatchNo no, const PodId& pod, Outcome outcome,
+                            Seconds took, bool concluded, const Load&) {
+    desk_->now = now;
+    desk_->ended(inv, no, pod, outcome, took, concluded);
+}
+void Choice::invocation_dropped(Seconds now, InvId inv) {
+    desk_->now = now;
+    desk_->dropped(inv);
+}
+void Choice::probe_ended(Seconds now, const PodId& pod, Outcome outcome, Seconds, const Load&) {
+    desk_->now = now;
+    desk_->probed(pod, outcome);
+}
+void Choice::answer_flagged(Seconds now, Operation op, const PodId& pod, Seconds) {
+    desk_->now = now;
+    // A flagged answer was counted as good when it came; now it counts as failed.
+    const auto it = desk_->pods.find(pod);
+    if (it != desk_->pods.end() && it->second.line.build == desk_->judged) desk_->fresh[op].failed += 1;
+    if (it != desk_->pods.end() && it->second.line.build < desk_->judged) desk_->earlier[op].failed += 1;
+}
+void Choice::tally_told(Seconds now, Build build, Operation op, int count, int failed, Seconds) {
+    desk_->now = now;
+    if (build > desk_->judged) return;
+    Tally& tally = (build == desk_->judged ? desk_->fresh : desk_->earlier)[op];
+    tally.seen += count;
+    tally.failed += failed;
+}
+void Choice::stage_told(Seconds now, Build build, Stage stage, Phase phase, double cap, Seconds age) {
+    desk_->now = now;
+    desk_->told_stage(build, stage, phase, cap, age);
+}
+void Choice::vote_answered(Seconds now, VoteReply reply) {
+    desk_->now = now;
+    desk_->vote_told(reply);
+}
+void Choice::alarm_rang(Seconds now, AlarmId alarm) {
+    desk_->now = now;
+    if (alarm == kBeatAlarm) desk_->beat();
+}
+
+}  // namespace tideline
--- /dev/null
+++ b/src/choice.hpp
@@ -0,0 +1,55 @@
+// The interface of the decision module: what it is told (Choice) and how it acts (Host).
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "words.hpp"
+
+namespace tideline {
+
+// What the module may do. Each call takes effect at once; none calls back into the module.
+class Host {
+  public:
+    virtual ~Host() = default;
+    virtual void dispatch(InvId inv, const PodId& pod, Seconds stop_at) = 0;
+    virtual void withdraw(InvId inv, DispatchNo no) = 0;
+    virtual void throttle(InvId inv, Seconds come_back) = 0;  // 0: no advice
+    virtual void terminate(InvId inv) = 0;
+    virtual void probe(const PodId& pod) = 0;
+    virtual void follow_list() = 0;
+    virtual void fetch_list() = 0;
+    virtual void vote(Build build, Stage stage, Vote vote) = 0;
+    virtual void alarm(Seconds after, AlarmId alarm) = 0;
+    virtual void note(const std::string& text) = 0;
+};
+
+// One sidecar's decisions. Every call carries the time, in seconds, which never goes back.
+// The constructor throws std::invalid_argument, naming the term, if it can't work with what it is told.
+class Choice {
+  public:
+    Choice(Host& host, const Terms& terms, std::uint64_t seed, Seconds now);
+    ~Choice();
+
+    void pods_listed(Seconds now, ListKind kind, const std::vector<PodLine>& lines);
+    void list_lost(Seconds now);
+    void invocation_taken(Seconds now, InvId inv, Operation op, Customer customer,
+                          std::optional<ObjectKey> key, Seconds budget, std::optional<Seconds> work);
+    void stream_begun(Seconds now, InvId inv, DispatchNo no);
+    void dispatch_ended(Seconds now, InvId inv, DispatchNo no, const PodId& pod, Outcome outcome,
+                        Seconds took, bool concluded, const Load& load);
+    void invocation_dropped(Seconds now, InvId inv);
+    void probe_ended(Seconds now, const PodId& pod, Outcome outcome, Seconds took, const Load& load);
+    void answer_flagged(Seconds now, Operation op, const PodId& pod, Seconds sent_ago);
+    void tally_told(Seconds now, Build build, Operation op, int count, int failed, Seconds mean_time);
+    void stage_told(Seconds now, Build build, Stage stage, Phase phase, double cap, Seconds age);
+    void vote_answered(Seconds now, VoteReply reply);
+    void alarm_rang(Seconds now, AlarmId alarm);
+
+  private:
+    struct Desk;
+    std::unique_ptr<Desk> desk_;
+};
+
+}  // namespace tideline
--- /dev/null
+++ b/src/samples.hpp
@@ -0,0 +1,67 @@
+// Mechanical containers: the last few samples, and events counted over a sliding stretch of time.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <deque>
+#include <vector>
+
+namespace tideline {
+
+// Keeps the newest `most` values, oldest first.
+template <class Value>
+class LastFew {
+  public:
+    explicit LastFew(std::size_t most) : most_(most) {}
+    void add(Value value) {
+        kept_.push_back(value);
+        if (kept_.size() > most_) kept_.pop_front();
+    }
+    void clear() { kept_.clear(); }
+    std::size_t size() const { return kept_.size(); }
+    bool empty() const { return kept_.empty(); }
+    auto begin() const { return kept_.begin(); }
+    auto end() const { return kept_.end(); }
+    const Value& operator[](std::size_t i) const { return kept_[i]; }
+
+  private:
+    std::size_t most_;
+    std::deque<Value> kept_;
+};
+
+// The value below which `part` of the values lie.
+template <class Few>
+double quantile(const Few& few, double part) {
+    std::vector<double> sorted(few.begin(), few.end());
+    if (sorted.empty()) return 0;
+    auto at = sorted.begin() + static_cast<std::ptrdiff_t>(part * static_cast<double>(sorted.size() - 1));
+    std::nth_element(sorted.begin(), at, sorted.end());
+    return *at;
+}
+
+// Amounts with their times; `since` adds up what came at or after a time.
+class Stretch {
+  public:
+    void add(double time, double amount = 1) { kept_.push_back({time, amount}); }
+    void forget_before(double time) {
+        while (!kept_.empty() && kept_.front().time < time) kept_.pop_front();
+    }
+    double since(double time) const {
+        double sum = 0;
+        for (auto it = kept_.rbegin(); it != kept_.rend() && it->time >= time; ++it) sum += it->amount;
+        return sum;
+    }
+    double after(double time) const {
+        double sum = 0;
+        for (auto it = kept_.rbegin(); it != kept_.rend() && it->time > time; ++it) sum += it->amount;
+        return sum;
+    }
+
+  private:
+    struct Entry {
+        double time, amount;
+    };
+    std::deque<Entry> kept_;
+};
+
+}  // namespace tideline
--- /dev/null
+++ b/src/words.hpp
@@ -0,0 +1,58 @@
+// The words that the decisions and their hosts share: a type for each kind of id, and the enums.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+
+namespace tideline {
+
+template <class Tag, class Value>
+struct Id {
+    Value value{};
+    auto operator<=>(const Id&) const = default;
+};
+
+using InvId = Id<struct InvTag, std::uint64_t>;      // one invocation, at one sidecar
+using PodId = Id<struct PodTag, std::string>;        // address:port, the same at every sidecar
+using Operation = Id<struct OperationTag, int>;      // position in the operations told at start
+using Customer = Id<struct CustomerTag, int>;        // position in the customers told at start
+using Location = Id<struct LocationTag, int>;        // position in the locations told at start
+using Cell = Id<struct CellTag, int>;                // pods that share what they know of marks
+using Build = Id<struct BuildTag, int>;              // a later build has a higher number
+using Stage = Id<struct StageTag, int>;              // counts from 0
+using ObjectKey = Id<struct KeyTag, std::uint64_t>;  // what an invocation is about
+using AlarmId = Id<struct AlarmTag, std::uint64_t>;  // chosen by whoever sets the alarm
+using DispatchNo = Id<struct DispatchTag, int>;      // counts from 0 within an invocation
+
+using Seconds = double;
+
+enum class Outcome { succeeded, failed, full, timed_out, unreachable, broken, withdrawn, moot };
+enum class PodState { ready, draining, gone };
+enum class ListKind { changes, whole, warm_copy };
+enum class Phase { trial, reverting, released, withdrawn };
+enum class Vote { none, on, hold, back };
+enum class VoteReply { counted, ignored, full, failed, timed_out };
+
+// What is told at start, by name, in our words; times in seconds, yes and no as 1 and 0.
+using Term = std::variant<double, std::string>;
+using Terms = std::map<std::string, Term>;
+
+// A load report: name to value, as the pod gave it.
+using Load = std::map<std::string, double>;
+
+// One line of the list of pods.
+struct PodLine {
+    PodId pod;
+    PodState state = PodState::ready;
+    Location location;
+    Cell cell;
+    int kind = 0;
+    double weight = 1;
+    Build build;
+    Seconds started = 0;  // 0: long ago
+};
+
+}  // namespace tideline
