Judge slowness as one charge and leave out the worst trial pod

Also guards against one crashed or slowed machine; may harm where one machine alone ever runs the build.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -30,6 +30,7 @@
 // The judge (ours).
 constexpr double kSlowTimes = 2;         // multiple of the earlier build's median time that counts as slow
 constexpr double kSlowFloor = 0.1;       // share: slowness differs by machine too, so its error is larger
+constexpr double kOthersLeast = 10;      // answers: so many good ones of other pods clear a build of one's
 constexpr std::size_t kTimesKept = 64;   // answers an operation: enough for a steady median
 constexpr std::size_t kTimesLeast = 12;  // answers: fewer give no median to go by
 constexpr double kColdUncounted = 0.5;   // share of the warm-up: answers of a younger pod are no evidence
@@ -116,13 +117,16 @@
     }
 };
 
-// What the judge counts for one operation in a stage.
-struct Tally {
-    double seen = 0, failed = 0, slow_seen = 0, slow = 0;
+// What the judge counts in a stage.
+struct Count {
+    double seen = 0, bad = 0;
+    Count operator+(const Count& other) const { return {seen + other.seen, bad + other.bad}; }
+    double share() const { return seen > 0 ? bad / seen : 0; }
 };
 
-enum class Fault { failing, slow };
-using Charge = std::pair<Operation, Fault>;  // what a build may be marked for
+// What a build may be marked for: an operation that fails, or being slow in all of them.
+using Charge = Operation;
+constexpr Charge kSlowness{-1};
 
 struct News {
     Build build;
@@ -160,7 +164,8 @@
 
     Build judged;
     Stage judged_stage;
-    std::map<Operation, Tally> fresh, earlier, earlier_before;
+    std::map<Charge, std::map<PodId, Count>> fresh;
+    std::map<Charge, Count> earlier, earlier_before;
     std::map<Operation, LastFew<double>> earlier_times;
     std::map<Charge, double> finished;  // sum of the log likelihood ratios of finished stages
     std::map<Charge, double> lfdr;
@@ -546,30 +551,44 @@
             finished.clear(), marks.clear(), earlier_before.clear();
         } else {
             for (const auto& [charge, ratio] : current_ratios()) finished[charge] += ratio;
-            for (const auto& [op, tally] : earlier) earlier_before[op] = tally;
+            for (const auto& [charge, count] : earlier) earlier_before[charge] = count;
         }
         fresh.clear(), earlier.clear(), lfdr.clear();
         judged = news->build, judged_stage = news->stage;
     }
     // The z-score of the difference of two shares, with the standard error of no difference, floored.
-    static double z_score(double bad, double of, double bad_before, double of_before, double floor) {
-        if (bad < kLeastFailures || of <= 0 || of_before <= 0) return 0;
-        const double pooled = std::min(1.0, (bad + bad_before) / (of + of_before));
-        const double error = std::sqrt(pooled * (1 - pooled) * (1 / of + 1 / of_before));
-        return (bad / of - bad_before / of_before) / std::max(floor, error);
+    static double z_score(const Count& now_new, const Count& old, double floor) {
+        if (now_new.bad < kLeastFailures || now_new.seen <= 0 || old.seen <= 0) return 0;
+        const double pooled = std::min(1.0, (now_new + old).share());
+        const double error = std::sqrt(pooled * (1 - pooled) * (1 / now_new.seen + 1 / old.seen));
+        return (now_new.share() - old.share()) / std::max(floor, error);
+    }
+    // Danger: one broken or slow machine marks a good build for good. What a build does it does on all its
+    // machines, so the worst of them is left out: for failures where the others, with enough answers, show
+    // none; for slowness always, so that a single machine never shows a build to be slow. Harms where only
+    // one machine ever runs the build: then its slowness is not judged.
+    Count evidence(Charge charge) {
+        Count all, rest;
+        const Count* worst = nullptr;
+        for (const auto& [pod, count] : fresh[charge]) {
+            all = all + count;
+            if (!worst || count.share() > worst->share()) worst = &count;
+        }
+        if (worst) rest = {all.seen - worst->seen, all.bad - worst->bad};
+        return charge == kSlowness || (rest.seen >= kOthersLeast && rest.bad == 0) ? rest : all;
+    }
+    // Where the earlier build gets nothing any more, its last known share stands.
+    Count before(Charge charge) {
+        return earlier[charge].seen > 0 ? earlier[charge] : earlier_before[charge];
     }
     // log(f1/f0) of each charge's score in the present stage: both unit normal, f1 with mean kBadMean.
     std::map<Charge, double> current_ratios() {
         std::map<Charge, double> ratios;
-        for (int i = 0; i < static_cast<int>(covers.size()); ++i) {
-            const Operation op{i};
-            const Tally& now_new = fresh[op];
-            // Where the earlier build gets nothing any more, its last known shares stand.
-            const Tally& old = earlier[op].seen > 0 ? earlier[op] : earlier_before[op];
-            const double failing = z_score(now_new.failed, now_new.seen, old.failed, old.seen, kErrorFloor);
-            const double slow = z_score(now_new.slow, now_new.slow_seen, old.slow, old.slow_seen, kSlowFloor);
-            ratios[{op, Fault::failing}] = kBadMean * failing - kBadMean * kBadMean / 2;
-            ratios[{op, Fault::slow}] = kBadMean * slow - kBadMean * kBadMean / 2;
+        for (int i = kSlowness.value; i < static_cast<int>(covers.size()); ++i) {
+            const Charge charge{i};
+            const double floor = charge == kSlowness ? kSlowFloor : kErrorFloor;
+            const double z = z_score(evidence(charge), before(charge), floor);
+            ratios[charge] = kBadMean * z - kBadMean * kBadMean / 2;
         }
         return ratios;
     }
@@ -590,40 +609,39 @@
             if (sum / static_cast<double>(i + 1) <= kMarkAt) marked = i + 1;
         }
         for (std::size_t i = 0; i < marked; ++i) {
-            const auto& [op, fault] = sorted[i].second;
-            marks.insert(sorted[i].second);
+            const Charge charge = sorted[i].second;
+            const Count bad = evidence(charge), old = before(charge);
+            marks.insert(charge);
+            const std::string what =
+                charge == kSlowness ? "slow" : "operation " + std::to_string(charge.value) + " fails";
             host.note("build " + std::to_string(judged.value) + " marked in stage " +
-                      std::to_string(judged_stage.value) + ": operation " + std::to_string(op.value) +
-                      (fault == Fault::failing ? " fails: " : " is slow: ") + describe(op, fault));
+                      std::to_string(judged_stage.value) + ": " + what + ", " + part(bad) +
+                      ", earlier build " + part(old));
         }
     }
-    std::string describe(Operation op, Fault fault) {
-        const auto part = [&](const Tally& t) {
-            const double bad = fault == Fault::failing ? t.failed : t.slow;
-            const double of = fault == Fault::failing ? t.seen : t.slow_seen;
-            return std::to_string(static_cast<int>(bad)) + " of " + std::to_string(static_cast<int>(of));
-        };
-        return part(fresh[op]) + ", earlier build " + part(earlier[op]);
+    static std::string part(const Count& count) {
+        return std::to_string(static_cast<int>(count.bad)) + " of " +
+               std::to_string(static_cast<int>(count.seen));
     }
     // Evidence: answers and errors of pods past their cold start. Full refusals, lost connections and silence
     // say something of a machine, not of its build; they go to the pod's health.
     void count_evidence(const Invocation& inv, const Dispatch& d, Outcome outcome, Seconds took) {
         if (!news || d.cold || d.build > judged) return;
         if (outcome != Outcome::succeeded && outcome != Outcome::failed) return;
-        Tally& tally = (d.build == judged ? fresh : earlier)[inv.op];
-        tally.seen += 1;
-        if (outcome == Outcome::failed) {
-            tally.failed += 1;
-            return;
-        }
+        count(inv.op, d.pod, d.build, 1, outcome == Outcome::failed);
+        if (outcome == Outcome::failed) return;
         auto& times = earlier_times.try_emplace(inv.op, kTimesKept).first->second;
-        if (times.size() >= kTimesLeast) {
-            tally.slow_seen += 1;
-            if (took > kSlowTimes * quantile(times, 0.5)) tally.slow += 1;
-        }
+        if (times.size() >= kTimesLeast)
+            count(kSlowness, d.pod, d.build, 1, took > kSlowTimes * quantile(times, 0.5));
         if (d.build < judged || news->phase != Phase::trial) times.add(took);
     }
 
+    void count(Charge charge, const PodId& pod, Build build, double seen, double bad) {
+        if (build > judged) return;
+        Count& kept = build == judged ? fresh[charge][pod] : earlier[charge];
+        kept = kept + Count{seen, bad};
+    }
+
     // --- Votes ------------------------------------------------------------------------------------------
     Vote wanted() const {
         if (!news || (news->phase != Phase::trial && news->phase != Phase::released)) return Vote::none;
@@ -645,7 +663,9 @@
         const Vote want = wanted();
         const bool same = want == standing && vote_build == news->build &&
                           (want == Vote::back || vote_stage == news->stage);
-        if (want == Vote::none && (standing == Vote::none || vote_build != news->build)) return;
+        if (want == Vote::none &&
+            (standing == Vote::none || vote_build != news->build || vote_stage != news->stage))
+            return;
         if (now < vote_due && (same || asked == want)) return;
         if (want != asked || vote_build != news->build)
             host.note(std::string("vote ") +
@@ -866,15 +886,11 @@
     desk_->now = now;
     // A flagged answer was counted as good when it came; now it counts as failed.
     const auto it = desk_->pods.find(pod);
-    if (it != desk_->pods.end() && it->second.line.build == desk_->judged) desk_->fresh[op].failed += 1;
-    if (it != desk_->pods.end() && it->second.line.build < desk_->judged) desk_->earlier[op].failed += 1;
+    if (it != desk_->pods.end()) desk_->count(op, pod, it->second.line.build, 0, 1);
 }
 void Choice::tally_told(Seconds now, Build build, Operation op, int count, int failed, Seconds) {
     desk_->now = now;
-    if (build > desk_->judged) return;
-    Tally& tally = (build == desk_->judged ? desk_->fresh : desk_->earlier)[op];
-    tally.seen += count;
-    tally.failed += failed;
+    desk_->count(op, PodId{}, build, count, failed);
 }
 void Choice::stage_told(Seconds now, Build build, Stage stage, Phase phase, double cap, Seconds age) {
     desk_->now = now;
