--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -39,12 +39,17 @@
 constexpr double kRenewTo = 0.9;     // and scattered, with time left for a second try
 constexpr Seconds kVoteAgain = 0.3;  // s: wait after a vote that failed, scattered by half
 // Routing.
-constexpr std::size_t kAnswersKept = 24;  // answers a pod: some seconds of its traffic
-constexpr std::size_t kPresent = 6;       // answers: the run whose mean is an answer time
-constexpr double kSlack = 2;              // the in-flight limit holds while present time <= this x shortest
-constexpr int kHeadroom = 2;              // dispatches: lets a limit grow again
-constexpr int kLimitUnknown = 8;          // dispatches: limit of a pod of which nothing is known
-constexpr double kCrossLocation = 1.3;    // multiple: cost of a pod elsewhere, where crossing has a price
+constexpr std::size_t kRun = 6;          // answers a pod: the run whose mean is an answer time
+constexpr std::size_t kRunsKept = 40;    // runs a pod: long enough to remember how short it was before a jam
+constexpr std::size_t kOpRun = 12;       // answers an operation: the same for what an operation takes
+constexpr std::size_t kOpRunsKept = 60;  // runs
+constexpr double kSlack = 2.5;           // the in-flight limit falls when present time > this x shortest
+constexpr double kLeastStep = 0.5;       // factor: a limit falls by no more than this in one run
+constexpr double kHeadroom = 1;          // dispatches a run: lets a limit grow again while it is in use
+constexpr double kLimitFirst = 4;        // dispatches: limit of a pod of which nothing is known
+constexpr double kLimitLeast = 1;        // dispatches: so that a pod still shows how it does
+constexpr double kWaitShare = 0.35;      // share of the SLO time that an invocation may wait here
+constexpr double kCrossLocation = 1.3;   // multiple: cost of a pod elsewhere, where crossing has a price
 constexpr double kTrialPatience =
     2;                               // multiple: a trial pod this much worse than an earlier one is passed by
 constexpr Seconds kRestFirst = 0.5;  // s: first rest of a pod that failed; doubles
@@ -75,18 +80,16 @@
     Effect effect = Effect::idempotent;
     Group group = Group::all;
     LastFew<double> times{kTimesKept};  // answer times, any pod
+    Runs runs{kOpRun, kOpRunsKept};
+    Seconds shortest() const { return runs.ready() ? runs.shortest() : slo_time / 8; }
     Seconds usual() const { return times.empty() ? slo_time / 4 : quantile(times, 0.5); }
 };
 
-struct Answer {
-    double relative;  // answer time over the operation's usual one
-    int out;          // own dispatches at the pod when it was sent
-};
-
 struct Pod {
     PodLine line;
     int out = 0;
-    LastFew<Answer> answers{kAnswersKept};
+    Runs answers{kRun, kRunsKept};  // answer times over their operations' shortest
+    double limit = kLimitFirst;     // own dispatches that may be out here at once
     Seconds last_answer = kNever;
     Seconds rest_until = kNever, rest_for = 0;
     bool proving = false, probed = false;  // back from a rest: one dispatch until it answers
@@ -99,7 +102,6 @@
     Cell cell;
     Build build;
     Seconds sent = 0;
-    int out_then = 0;
     bool cold = false, ended = false, may_have_run = true, withdrawn = false, streaming = false;
 };
 
@@ -340,32 +342,15 @@
     }
 
     // --- Routing ----------------------------------------------------------------------------------------
-    // The mean of the newest answers, relative to what their operations usually take, and the shortest such
-    // mean among the kept ones.
-    static double present(const Pod& pod) {
-        double sum = 0;
-        const std::size_t n = std::min(kPresent, pod.answers.size());
-        for (std::size_t i = pod.answers.size() - n; i < pod.answers.size(); ++i)
-            sum += pod.answers[i].relative;
-        return n == 0 ? 1 : sum / static_cast<double>(n);
-    }
-    static double shortest(const Pod& pod) {
-        double least = present(pod), sum = 0;
-        for (std::size_t i = 0; i < pod.answers.size(); ++i) {
-            sum += pod.answers[i].relative;
-            if (i >= kPresent) sum -= pod.answers[i - kPresent].relative;
-            if (i + 1 >= kPresent) least = std::min(least, sum / static_cast<double>(kPresent));
-        }
-        return least;
-    }
-    // How many dispatches may be out at a pod: what was out lately, by shortest over present answer time.
-    static int in_flight_limit(const Pod& pod) {
-        if (pod.proving) return 1;
-        if (pod.answers.size() < kPresent) return kLimitUnknown;
-        int most = 1;
-        for (const Answer& answer : pod.answers) most = std::max(most, answer.out);
-        const double ratio = std::min(1.0, kSlack * shortest(pod) / std::max(1e-9, present(pod)));
-        return static_cast<int>(most * ratio) + kHeadroom;
+    static double present(const Pod& pod) { return pod.answers.ready() ? pod.answers.present() : 1; }
+    static double in_flight_limit(const Pod& pod) { return pod.proving ? 1 : pod.limit; }
+    // After each run of answers the limit follows shortest over present answer time.
+    static void set_limit(Pod& pod) {
+        const double ratio = kSlack * pod.answers.shortest() / std::max(1e-9, pod.answers.present());
+        const bool in_use = pod.out + 1 >= pod.limit / 2;
+        pod.limit *= std::clamp(ratio, kLeastStep, 1.0);
+        if (ratio >= 1 && in_use) pod.limit += kHeadroom;
+        pod.limit = std::max(kLimitLeast, pod.limit);
     }
     double cost(const Pod& pod) const {
         const double far =
@@ -410,7 +395,7 @@
         Dispatch d;
         d.pod = pod.line.pod, d.location = pod.line.location, d.cell = pod.line.cell,
         d.build = pod.line.build;
-        d.sent = now, d.out_then = ++pod.out;
+        d.sent = now, ++pod.out;
         d.cold = pod.line.started > 0 && now - pod.line.started < kColdUncounted * warm_within;
         inv.dispatches.push_back(d);
         inv.waiting = false;
@@ -440,8 +425,9 @@
     // The latest time at which sending still makes sense: an answer then comes within the SLO time.
     Seconds hope_until(const Invocation& inv) const {
         const Cover& cover = covers[inv.op.value];
-        const Seconds slo = inv.taken + cover.slo_time - cover.usual();
-        return std::min(std::max(slo, inv.taken), inv.ends - 2 * kBeat);
+        const Seconds most =
+            inv.dispatches.empty() ? kWaitShare * cover.slo_time : cover.slo_time - cover.usual();
+        return std::min(inv.taken + std::max(0.0, most), inv.ends - 2 * kBeat);
     }
     bool over_share(Customer customer) {
         const double share = have("customers." + std::to_string(customer.value) + ".share", 1);
@@ -762,8 +748,9 @@
         switch (outcome) {
             case Outcome::succeeded:
                 answered(pod);
-                pod.answers.add({took / std::max(1e-6, cover.usual()), d.out_then});
                 cover.times.add(took);
+                cover.runs.add(took);
+                if (pod.answers.add(took / std::max(1e-6, cover.shortest()))) set_limit(pod);
                 served.add(now, inv.work);
                 served.forget_before(now - kCarriedOver - fall_window);
                 if (one_way && inv.key && on_trial_or_newest(d.build)) answered_by[*inv.key] = d.build;
--- a/src/samples.hpp
+++ b/src/samples.hpp
@@ -39,6 +39,31 @@
     return *at;
 }
 
+// Values in runs of a fixed length: the mean of the newest values, and the least mean among the kept runs.
+class Runs {
+  public:
+    Runs(std::size_t length, std::size_t runs) : newest_(length), means_(runs), length_(length) {}
+    // True when the value ends a run.
+    bool add(double value) {
+        newest_.add(value);
+        if (++in_run_ < length_) return false;
+        in_run_ = 0;
+        means_.add(present());
+        return true;
+    }
+    bool ready() const { return !means_.empty(); }
+    double present() const {
+        double sum = 0;
+        for (const double value : newest_) sum += value;
+        return newest_.empty() ? 0 : sum / static_cast<double>(newest_.size());
+    }
+    double shortest() const { return *std::min_element(means_.begin(), means_.end()); }
+
+  private:
+    LastFew<double> newest_, means_;
+    std::size_t length_, in_run_ = 0;
+};
+
 // Amounts with their times; `since` adds up what came at or after a time.
 class Stretch {
   public:
