Slowness of warm pods only; flagged answers a charge of their own

Cause: half-warm trial pods passed for slow builds; flags mixed with failures drowned under the 2% floor.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -28,6 +28,8 @@
 constexpr Seconds kHoldMost = 2;      // s a stage: the design's longest hold
 constexpr Seconds kJudgeEvery = 1;    // s: the design scores once a second
 // The judge (ours).
+constexpr double kLeastSlow = 6;         // answers: slow ones needed; a few come of chance and queues
+constexpr double kLeastFlags = 2;        // flags: each stands for several wrong answers; one may be false
 constexpr double kSlowTimes = 2;         // multiple of the earlier build's median time that counts as slow
 constexpr double kSlowFloor = 0.1;       // share: slowness differs by machine too, so its error is larger
 constexpr double kOthersLeast = 10;      // answers: so many good ones of other pods clear a build of one's
@@ -102,7 +104,7 @@
     Cell cell;
     Build build;
     Seconds sent = 0;
-    bool cold = false, ended = false, may_have_run = true, withdrawn = false, streaming = false;
+    bool cold = false, warm = true, ended = false, may_have_run = true, withdrawn = false, streaming = false;
 };
 
 struct Invocation {
@@ -126,9 +128,10 @@
     double share() const { return seen > 0 ? bad / seen : 0; }
 };
 
-// What a build may be marked for: an operation that fails, or being slow in all of them.
+// What a build may be marked for: an operation that fails (by stages, as the design page has it); or, over
+// all operations and the whole trial, being slow, or answers that clients flagged as wrong.
 using Charge = Operation;
-constexpr Charge kSlowness{-1};
+constexpr Charge kSlowness{-1}, kFlagged{-2};
 
 struct News {
     Build build;
@@ -166,6 +169,7 @@
 
     Build judged;
     Stage judged_stage;
+    bool judged_released = false;
     std::map<Charge, std::map<PodId, Count>> fresh;
     std::map<Charge, Count> earlier, earlier_before;
     std::map<Operation, LastFew<double>> earlier_times;
@@ -396,6 +400,7 @@
         d.pod = pod.line.pod, d.location = pod.line.location, d.cell = pod.line.cell,
         d.build = pod.line.build;
         d.sent = now, ++pod.out;
+        d.warm = !cold(pod);
         d.cold = pod.line.started > 0 && now - pod.line.started < kColdUncounted * warm_within;
         inv.dispatches.push_back(d);
         inv.waiting = false;
@@ -534,17 +539,28 @@
     // --- The judge --------------------------------------------------------------------------------------
     void open_stage(bool new_build) {
         if (new_build) {
-            finished.clear(), marks.clear(), earlier_before.clear();
+            // The build released before is the one to compare with; of one that went back nothing is kept.
+            for (auto& [charge, of_pods] : fresh) {
+                if (!judged_released) continue;
+                earlier_before[charge] = Count{};
+                for (const auto& [pod, count] : of_pods)
+                    earlier_before[charge] = earlier_before[charge] + count;
+            }
+            fresh.clear(), earlier.clear(), finished.clear(), marks.clear();
         } else {
-            for (const auto& [charge, ratio] : current_ratios()) finished[charge] += ratio;
-            for (const auto& [charge, count] : earlier) earlier_before[charge] = count;
+            for (const auto& [charge, ratio] : current_ratios()) {
+                if (charge.value < 0) continue;
+                finished[charge] += ratio;
+                if (earlier[charge].seen > 0) earlier_before[charge] = earlier[charge];
+                fresh[charge].clear(), earlier[charge] = Count{};
+            }
         }
-        fresh.clear(), earlier.clear(), lfdr.clear();
+        lfdr.clear();
         judged = news->build, judged_stage = news->stage;
     }
     // The z-score of the difference of two shares, with the standard error of no difference, floored.
     static double z_score(const Count& now_new, const Count& old, double floor) {
-        if (now_new.bad < kLeastFailures || now_new.seen <= 0 || old.seen <= 0) return 0;
+        if (now_new.seen <= 0 || old.seen <= 0) return 0;
         const double pooled = std::min(1.0, (now_new + old).share());
         const double error = std::sqrt(pooled * (1 - pooled) * (1 / now_new.seen + 1 / old.seen));
         return (now_new.share() - old.share()) / std::max(floor, error);
@@ -565,15 +581,24 @@
     }
     // Where the earlier build gets nothing any more, its last known share stands.
     Count before(Charge charge) {
+        if (charge.value < 0) return earlier[charge] + earlier_before[charge];
         return earlier[charge].seen > 0 ? earlier[charge] : earlier_before[charge];
     }
+    // The score of a charge; 0 on too little evidence. A flag stands for several wrong answers.
+    double score(Charge charge) {
+        const double flag = std::max(1e-3, have("release.flagged_share", 0));
+        const Count bad = evidence(charge);
+        if (charge == kSlowness) return bad.bad < kLeastSlow ? 0 : z_score(bad, before(charge), kSlowFloor);
+        if (charge == kFlagged)
+            return bad.bad < kLeastFlags ? 0 : z_score(bad, before(charge), kErrorFloor * flag);
+        return bad.bad < kLeastFailures ? 0 : z_score(bad, before(charge), kErrorFloor);
+    }
     // log(f1/f0) of each charge's score in the present stage: both unit normal, f1 with mean kBadMean.
     std::map<Charge, double> current_ratios() {
         std::map<Charge, double> ratios;
-        for (int i = kSlowness.value; i < static_cast<int>(covers.size()); ++i) {
+        for (int i = kFlagged.value; i < static_cast<int>(covers.size()); ++i) {
             const Charge charge{i};
-            const double floor = charge == kSlowness ? kSlowFloor : kErrorFloor;
-            const double z = z_score(evidence(charge), before(charge), floor);
+            const double z = score(charge);
             ratios[charge] = kBadMean * z - kBadMean * kBadMean / 2;
         }
         return ratios;
@@ -598,8 +623,10 @@
             const Charge charge = sorted[i].second;
             const Count bad = evidence(charge), old = before(charge);
             marks.insert(charge);
-            const std::string what =
-                charge == kSlowness ? "slow" : "operation " + std::to_string(charge.value) + " fails";
+            const std::string what = charge == kSlowness ? "slow"
+                                     : charge == kFlagged
+                                         ? "answers flagged"
+                                         : "operation " + std::to_string(charge.value) + " fails";
             host.note("build " + std::to_string(judged.value) + " marked in stage " +
                       std::to_string(judged_stage.value) + ": " + what + ", " + part(bad) +
                       ", earlier build " + part(old));
@@ -614,8 +641,9 @@
     void count_evidence(const Invocation& inv, const Dispatch& d, Outcome outcome, Seconds took) {
         if (!news || d.cold || d.build > judged) return;
         if (outcome != Outcome::succeeded && outcome != Outcome::failed) return;
+        count(kFlagged, d.pod, d.build, 1, 0);
         count(inv.op, d.pod, d.build, 1, outcome == Outcome::failed);
-        if (outcome == Outcome::failed) return;
+        if (outcome == Outcome::failed || !d.warm) return;
         auto& times = earlier_times.try_emplace(inv.op, kTimesKept).first->second;
         if (times.size() >= kTimesLeast)
             count(kSlowness, d.pod, d.build, 1, took > kSlowTimes * quantile(times, 0.5));
@@ -869,11 +897,10 @@
     desk_->now = now;
     desk_->probed(pod, outcome);
 }
-void Choice::answer_flagged(Seconds now, Operation op, const PodId& pod, Seconds) {
+void Choice::answer_flagged(Seconds now, Operation, const PodId& pod, Seconds) {
     desk_->now = now;
-    // A flagged answer was counted as good when it came; now it counts as failed.
     const auto it = desk_->pods.find(pod);
-    if (it != desk_->pods.end()) desk_->count(op, pod, it->second.line.build, 0, 1);
+    if (it != desk_->pods.end()) desk_->count(kFlagged, pod, it->second.line.build, 0, 1);
 }
 void Choice::tally_told(Seconds now, Build build, Operation op, int count, int failed, Seconds) {
     desk_->now = now;
