A pod that fails everything at once rests

Symptom: 4 dispatches an invocation, 92% of sends at a tenth of the pods, answers in 7 ms, 99.5% not answered well. Cause: those pods failed at once, so they always looked idle and cheap. Told from a bad build: both builds' pods, every operation, nearly all answers. Change: five failures in a row without a success put a pod to rest, then a probe and one dispatch. Should also catch a pod with a dead back end.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -56,6 +56,7 @@
     2;                               // multiple: a trial pod this much worse than an earlier one is passed by
 constexpr Seconds kRestFirst = 0.5;  // s: first rest of a pod that failed; doubles
 constexpr Seconds kRestMost = 6;     // s: longest rest, about as late as lists tell of a death
+constexpr int kFailedInRow = 5;      // answers: so many failures in a row are no matter of chance
 constexpr Seconds kRestFull = 0.1;   // s: rest of a pod that turned work away
 constexpr double kSilentTimes = 3;   // multiple of an operation's slow answer (90%): then a pod is silent
 constexpr double kSilentShare = 0.6;    // share of the SLO time: ... or at this, so that a second try fits
@@ -89,7 +90,7 @@
 
 struct Pod {
     PodLine line;
-    int out = 0;
+    int out = 0, failed_in_row = 0;
     Runs answers{kRun, kRunsKept};  // answer times over their operations' shortest
     double limit = kLimitFirst;     // own dispatches that may be out here at once
     Seconds last_answer = kNever;
@@ -776,6 +777,7 @@
         switch (outcome) {
             case Outcome::succeeded:
                 answered(pod);
+                pod.failed_in_row = 0;
                 cover.times.add(took);
                 cover.runs.add(took);
                 if (pod.answers.add(took / std::max(1e-6, cover.shortest()))) set_limit(pod);
@@ -784,7 +786,12 @@
                 if (one_way && inv.key && on_trial_or_newest(d.build)) answered_by[*inv.key] = d.build;
                 break;
             case Outcome::failed:
-                answered(pod);
+                // Danger: a pod that fails everything at once looks idle and draws all work to it. Several
+                // failures in a row, with no success between, are the machine's: it rests. A build that fails
+                // a part of its answers hardly ever does that, and is left to the judge.
+                pod.last_answer = now;
+                if (++pod.failed_in_row >= (pod.rest_for > 0 ? 1 : kFailedInRow))
+                    rest(pod, "fails everything");
                 break;
             case Outcome::full:
                 pod.last_answer = now;
