--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -32,6 +32,10 @@
 constexpr double kLeastFlags = 2;        // flags: each stands for several wrong answers; one may be false
 constexpr double kSlowTimes = 2;         // multiple of the earlier build's median time that counts as slow
 constexpr double kSlowFloor = 0.1;       // share: slowness differs by machine too, so its error is larger
+constexpr double kBesideLeast = 30;      // answers: so many of the earlier build beside, to call a build slow
+constexpr Seconds kSpan = 5;             // s: about a stage; spans in which a released build is judged
+constexpr double kEnoughBefore = 100;    // answers: an earlier build's share is known to about 3% then
+constexpr Seconds kSameAge = 1;          // s: pods of one stage start about together; younger ones clear none
 constexpr double kOthersLeast = 10;      // answers: so many good ones of other pods clear a build of one's
 constexpr std::size_t kTimesKept = 64;   // answers an operation: enough for a steady median
 constexpr std::size_t kTimesLeast = 12;  // answers: fewer give no median to go by
@@ -177,7 +181,7 @@
     std::map<Charge, double> finished;  // sum of the log likelihood ratios of finished stages
     std::map<Charge, double> lfdr;
     std::set<Charge> marks;
-    Seconds next_judging = 0;
+    Seconds next_judging = 0, span_ends = 0;
 
     Vote standing = Vote::none, asked = Vote::none;
     Build vote_build;
@@ -549,10 +553,13 @@
             }
             fresh.clear(), earlier.clear(), finished.clear(), marks.clear();
         } else {
+            // Danger: a fault that shows late, or under load, is shielded by the stages before it: a score of
+            // 0 for want of failures speaks for the build as much as a z of 2 speaks against it. So only
+            // stages that had a score enter the product.
             for (const auto& [charge, ratio] : current_ratios()) {
-                if (charge.value < 0) continue;
-                finished[charge] += ratio;
-                if (earlier[charge].seen > 0) earlier_before[charge] = earlier[charge];
+                if (charge == kFlagged) continue;
+                if (score(charge) != 0) finished[charge] += ratio;
+                earlier_before[charge] = earlier_before[charge] + earlier[charge];
                 fresh[charge].clear(), earlier[charge] = Count{};
             }
         }
@@ -570,20 +577,31 @@
     // machines, so the worst of them is left out: for failures where the others, with enough answers, show
     // none; for slowness always, so that a single machine never shows a build to be slow. Harms where only
     // one machine ever runs the build: then its slowness is not judged.
+    Seconds started(const PodId& pod) const {
+        const auto it = pods.find(pod);
+        return it == pods.end() ? 0 : it->second.line.started;
+    }
     Count evidence(Charge charge) {
-        Count all, rest;
-        const Count* worst = nullptr;
+        Count all, others, as_old;
+        const std::pair<const PodId, Count>* worst = nullptr;
+        for (const auto& of_pod : fresh[charge]) {
+            all = all + of_pod.second;
+            if (!worst || of_pod.second.share() > worst->second.share()) worst = &of_pod;
+        }
         for (const auto& [pod, count] : fresh[charge]) {
-            all = all + count;
-            if (!worst || count.share() > worst->share()) worst = &count;
+            if (pod == worst->first) continue;
+            others = others + count;
+            if (started(pod) <= started(worst->first) + kSameAge) as_old = as_old + count;
         }
-        if (worst) rest = {all.seen - worst->seen, all.bad - worst->bad};
-        return charge == kSlowness || (rest.seen >= kOthersLeast && rest.bad == 0) ? rest : all;
+        if (charge == kSlowness) return others;
+        return as_old.seen >= kOthersLeast && as_old.bad == 0 ? others : all;
     }
-    // Where the earlier build gets nothing any more, its last known share stands.
+    // Where the earlier build gets too little in this stage to compare with, all that was seen of it counts.
+    // Slowness is compared side by side only: a busier hour makes any build slow.
     Count before(Charge charge) {
-        if (charge.value < 0) return earlier[charge] + earlier_before[charge];
-        return earlier[charge].seen > 0 ? earlier[charge] : earlier_before[charge];
+        const Count& here = earlier[charge];
+        if (charge == kSlowness) return here.seen >= kBesideLeast ? here : Count{};
+        return charge != kFlagged && here.seen >= kEnoughBefore ? here : here + earlier_before[charge];
     }
     // The score of a charge; 0 on too little evidence. A flag stands for several wrong answers.
     double score(Charge charge) {
@@ -606,6 +624,13 @@
     }
     void judge() {
         if (!news || (news->phase != Phase::trial && news->phase != Phase::released)) return;
+        // A released build is judged by spans, so that its good past does not hide a fault that sets in
+        // later.
+        if (news->phase == Phase::released && now >= span_ends) {
+            for (auto& [charge, of_pods] : fresh)
+                if (charge != kFlagged) of_pods.clear();
+            span_ends = now + kSpan;
+        }
         std::vector<std::pair<double, Charge>> sorted;
         for (const auto& [charge, ratio] : current_ratios()) {
             const double odds =
