--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -28,10 +28,11 @@
 constexpr Seconds kHoldMost = 2;      // s a stage: the design's longest hold
 constexpr Seconds kJudgeEvery = 1;    // s: the design scores once a second
 // The judge (ours).
-constexpr double kLeastSlow = 6;         // answers: slow ones needed; a few come of chance and queues
+constexpr double kLeastSlow = 10;        // answers: slow ones needed; a few come of chance and queues
 constexpr double kLeastFlags = 2;        // flags: each stands for several wrong answers; one may be false
 constexpr double kSlowTimes = 2;         // multiple of the earlier build's median time that counts as slow
-constexpr double kSlowFloor = 0.1;       // share: slowness differs by machine too, so its error is larger
+constexpr double kSlowFloor = 0.14;      // share: slowness differs by machine too, so its error is larger
+constexpr Seconds kPressed = 2;          // s: after pressure, until queues are gone and times mean something
 constexpr double kBesideLeast = 30;      // answers: so many of the earlier build beside, to call a build slow
 constexpr Seconds kSpan = 5;             // s: about a stage; spans in which a released build is judged
 constexpr double kEnoughBefore = 100;    // answers: an earlier build's share is known to about 3% then
@@ -56,17 +57,18 @@
 constexpr double kLimitLeast = 1;        // dispatches: so that a pod still shows how it does
 constexpr double kWaitShare = 0.35;      // share of the SLO time that an invocation may wait here
 constexpr double kCrossLocation = 1.3;   // multiple: cost of a pod elsewhere, where crossing has a price
-constexpr double kTrialPatience =
-    2;                               // multiple: a trial pod this much worse than an earlier one is passed by
-constexpr Seconds kRestFirst = 0.5;  // s: first rest of a pod that failed; doubles
-constexpr Seconds kRestMost = 6;     // s: longest rest, about as late as lists tell of a death
-constexpr int kFailedInRow = 5;      // answers: so many failures in a row are no matter of chance
-constexpr Seconds kRestFull = 0.1;   // s: rest of a pod that turned work away
-constexpr double kSilentTimes = 3;   // multiple of an operation's slow answer (90%): then a pod is silent
-constexpr double kSilentShare = 0.6;    // share of the SLO time: ... or at this, so that a second try fits
-constexpr double kOverShare = 1.25;     // multiple of a customer's share: beyond it first to be throttled
-constexpr Seconds kRecent = 3;          // s: stretch over which own traffic is looked at
-constexpr double kComeBackLeast = 0.5;  // share of the longest come-back time: scattered from here up
+constexpr double kTrialPatience = 1.6;   // multiple: a trial pod dearer than this x an earlier is passed by
+constexpr Seconds kRestFirst = 0.5;      // s: first rest of a pod that failed; doubles
+constexpr Seconds kRestMost = 6;         // s: longest rest, about as late as lists tell of a death
+constexpr Seconds kRestNoted = 1.5;      // s: a rest this long is worth a line in the log
+constexpr Seconds kNoteAgain = 10;       // s: between two log lines that a limit is reached
+constexpr int kFailedInRow = 5;          // answers: so many failures in a row are no matter of chance
+constexpr Seconds kRestFull = 0.1;       // s: rest of a pod that turned work away
+constexpr double kSilentTimes = 3;       // multiple of an operation's slow answer (90%): then a pod is silent
+constexpr double kSilentShare = 0.6;     // share of the SLO time: ... or at this, so that a second try fits
+constexpr double kOverShare = 1.25;      // multiple of a customer's share: beyond it first to be throttled
+constexpr Seconds kRecent = 3;           // s: stretch over which own traffic is looked at
+constexpr double kComeBackLeast = 0.5;   // share of the longest come-back time: scattered from here up
 // Rules.
 constexpr double kColdSafety = 0.6;   // share of what would push a cold pod over, all sidecars together
 constexpr Seconds kCarriedOver = 10;  // s: stretch that shows what the other pods carry
@@ -99,8 +101,8 @@
     double limit = kLimitFirst;     // own dispatches that may be out here at once
     Seconds last_answer = kNever;
     Seconds rest_until = kNever, rest_for = 0;
-    bool proving = false, probed = false;  // back from a rest: one dispatch until it answers
-    Stretch work;                          // sent here, for the cold guard
+    bool noted = false, proving = false, probed = false;  // back from a rest: one dispatch until it answers
+    Stretch work;                                         // sent here, for the cold guard
 };
 
 struct Dispatch {
@@ -164,7 +166,8 @@
     Stretch served;
     std::map<Customer, Stretch> taken_from;
     Stretch taken_all;
-    bool limit_noted = false;
+    Seconds limit_noted = kNever;
+    Seconds pressed = kNever;  // when last something had to wait here
 
     std::optional<News> news;
     std::map<Operation, Stretch> taken_by;
@@ -459,11 +462,13 @@
         const double rate = served.since(now - kRecent) / kRecent;
         const double wait = rate > 0 ? static_cast<double>(waiting.size()) / rate : 0;
         if (now + wait > hope_until(inv)) {
-            if (!limit_noted) host.note("limit reached: throttling what can't be answered in time");
-            limit_noted = true;
+            if (now > limit_noted + kNoteAgain)
+                host.note("limit reached: throttling what can't be answered in time");
+            limit_noted = now;
             return give_up(id, inv);
         }
         inv.waiting = true;
+        pressed = now;
         waiting.push_back(id);
     }
     bool any_place(const Invocation& inv) const {
@@ -485,20 +490,23 @@
             else
                 waiting.push_back(id);
         }
-        if (waiting.empty()) limit_noted = false;
     }
 
     // --- Health of pods ---------------------------------------------------------------------------------
     void rest(Pod& pod, const char* why) {
         if (now < pod.rest_until) return;
-        if (pod.rest_for == 0) host.note("pod " + pod.line.pod.value + " left alone: " + why);
         pod.rest_for = std::min(kRestMost, pod.rest_for == 0 ? kRestFirst : 2 * pod.rest_for);
+        if (!pod.noted && pod.rest_for >= kRestNoted) {
+            pod.noted = true;
+            host.note("pod " + pod.line.pod.value + " left alone: " + why);
+        }
         pod.rest_until = now + pod.rest_for * draw(0.75, 1.25);
         pod.proving = pod.probed = false;
     }
     void answered(Pod& pod) {
         pod.last_answer = now;
-        if (pod.rest_for > 0) host.note("pod " + pod.line.pod.value + " taken back");
+        if (pod.noted) host.note("pod " + pod.line.pod.value + " taken back");
+        pod.noted = false;
         pod.rest_for = 0, pod.rest_until = kNever, pod.proving = pod.probed = false;
     }
     // A rest that is over ends with a probe where probes are allowed, then with a single dispatch.
@@ -665,11 +673,14 @@
     // Evidence: answers and errors of pods past their cold start. Full refusals, lost connections and silence
     // say something of a machine, not of its build; they go to the pod's health.
     void count_evidence(const Invocation& inv, const Dispatch& d, Outcome outcome, Seconds took) {
-        if (!news || d.cold || d.build > judged) return;
+        if (!news || d.build > judged) return;
         if (outcome != Outcome::succeeded && outcome != Outcome::failed) return;
-        count(kFlagged, d.pod, d.build, 1, 0);
+        count(kFlagged, d.pod, d.build, 1, 0);  // flags come for answers of cold pods too
+        if (d.cold) return;
         count(inv.op, d.pod, d.build, 1, outcome == Outcome::failed);
-        if (outcome == Outcome::failed || !d.warm) return;
+        // Danger: under pressure the fuller pods are slower whatever they run, and the trial's are the
+        // fuller.
+        if (outcome == Outcome::failed || !d.warm || now < pressed + kPressed) return;
         auto& times = earlier_times.try_emplace(inv.op, kTimesKept).first->second;
         if (times.size() >= kTimesLeast)
             count(kSlowness, d.pod, d.build, 1, took > kSlowTimes * quantile(times, 0.5));
@@ -867,6 +878,14 @@
             rest(pod, "probe failed");
     }
 
+    // Danger: the pod may have taken up another build since; a flag for what it ran before says nothing of
+    // it.
+    void flagged(const PodId& id, Seconds sent_ago) {
+        const auto it = pods.find(id);
+        if (it != pods.end() && now - sent_ago > it->second.line.started)
+            count(kFlagged, id, it->second.line.build, 0, 1);
+    }
+
     void told_stage(Build build, Stage stage, Phase phase, double cap, Seconds age) {
         const bool new_build = !news || build != news->build;
         if (!new_build && cap < news->cap) afresh = now + drain_grace;
@@ -929,10 +948,9 @@
     desk_->now = now;
     desk_->probed(pod, outcome);
 }
-void Choice::answer_flagged(Seconds now, Operation, const PodId& pod, Seconds) {
+void Choice::answer_flagged(Seconds now, Operation, const PodId& pod, Seconds sent_ago) {
     desk_->now = now;
-    const auto it = desk_->pods.find(pod);
-    if (it != desk_->pods.end()) desk_->count(kFlagged, pod, it->second.line.build, 0, 1);
+    desk_->flagged(pod, sent_ago);
 }
 void Choice::tally_told(Seconds now, Build build, Operation op, int count, int failed, Seconds) {
     desk_->now = now;
