--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -29,7 +29,6 @@
 constexpr Seconds kJudgeEvery = 1;    // s: the design scores once a second
 // The judge (ours).
 constexpr double kLeastSlow = 10;        // answers: slow ones needed; a few come of chance and queues
-constexpr double kLeastFlags = 2;        // flags: each stands for several wrong answers; one may be false
 constexpr double kSlowTimes = 2;         // multiple of the earlier build's median time that counts as slow
 constexpr double kSlowFloor = 0.14;      // share: slowness differs by machine too, so its error is larger
 constexpr Seconds kPressed = 2;          // s: after pressure, until queues are gone and times mean something
@@ -617,7 +616,7 @@
         const Count bad = evidence(charge);
         if (charge == kSlowness) return bad.bad < kLeastSlow ? 0 : z_score(bad, before(charge), kSlowFloor);
         if (charge == kFlagged)
-            return bad.bad < kLeastFlags ? 0 : z_score(bad, before(charge), kErrorFloor * flag);
+            return bad.bad < kLeastFailures ? 0 : z_score(bad, before(charge), kErrorFloor * flag);
         return bad.bad < kLeastFailures ? 0 : z_score(bad, before(charge), kErrorFloor);
     }
     // log(f1/f0) of each charge's score in the present stage: both unit normal, f1 with mean kBadMean.
