--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -49,7 +49,9 @@
 constexpr std::size_t kRunsKept = 40;    // runs a pod: long enough to remember how short it was before a jam
 constexpr std::size_t kOpRun = 12;       // answers an operation: the same for what an operation takes
 constexpr std::size_t kOpRunsKept = 60;  // runs
-constexpr double kSlack = 2.5;           // the in-flight limit falls when present time > this x shortest
+constexpr double kSlack = 2;             // the in-flight limit falls when present time > this x shortest
+constexpr double kUnloaded = 0.167;      // share of the SLO time: an unloaded answer takes no longer
+constexpr double kShortestMost = 1.25;   // relative: bounds a shortest time that was measured in a jam
 constexpr double kLeastStep = 0.5;       // factor: a limit falls by no more than this in one run
 constexpr double kHeadroom = 1;          // dispatches a run: lets a limit grow again while it is in use
 constexpr double kLimitFirst = 4;        // dispatches: limit of a pod of which nothing is known
@@ -89,7 +91,9 @@
     Group group = Group::all;
     LastFew<double> times{kTimesKept};  // answer times, any pod
     Runs runs{kOpRun, kOpRunsKept};
-    Seconds shortest() const { return runs.ready() ? runs.shortest() : slo_time / 8; }
+    Seconds shortest() const {
+        return std::min(kUnloaded * slo_time, runs.ready() ? runs.shortest() : slo_time);
+    }
     Seconds usual() const { return times.empty() ? slo_time / 4 : quantile(times, 0.5); }
 };
 
@@ -357,7 +361,8 @@
     static double in_flight_limit(const Pod& pod) { return pod.proving ? 1 : pod.limit; }
     // After each run of answers the limit follows shortest over present answer time.
     static void set_limit(Pod& pod) {
-        const double ratio = kSlack * pod.answers.shortest() / std::max(1e-9, pod.answers.present());
+        const double ratio =
+            kSlack * std::min(kShortestMost, pod.answers.shortest()) / std::max(1e-9, pod.answers.present());
         const bool in_use = pod.out + 1 >= pod.limit / 2;
         pod.limit *= std::clamp(ratio, kLeastStep, 1.0);
         if (ratio >= 1 && in_use) pod.limit += kHeadroom;
