--- /dev/null
+++ b/tests/helpers.hpp
@@ -0,0 +1,127 @@
+// Shared by the tests: terms to start from, and a host that keeps what the module did.
+#pragma once
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "choice.hpp"
+
+namespace tideline::test {
+
+inline Terms basic_terms() {
+    return {{"operations.count", 1.0},
+            {"operations.0.slo_time", 0.6},
+            {"operations.0.time_limit", 2.0},
+            {"operations.0.effect", std::string("idempotent")},
+            {"operations.0.group", std::string("all")},
+            {"operations.0.repeat_window", 2.0},
+            {"allowed.dispatches", 4.0},
+            {"allowed.withdraw", 1.0},
+            {"allowed.come_back", 1.0},
+            {"allowed.longest_come_back", 1.0},
+            {"release.allowance", 1.0},
+            {"release.caps.0", 0.1},
+            {"release.counted_by", std::string("all")},
+            {"release.guarded_stages", 0.0},
+            {"release.moved_by", std::string("count")},
+            {"release.least_time", 2.0},
+            {"release.vote_life", 6.0},
+            {"release.vote_wait", 0.8},
+            {"release.window", 3.0},
+            {"rules.cold_share", 0.35},
+            {"rules.drain_grace", 0.25},
+            {"rules.fall_multiple", 2.5},
+            {"rules.fall_window", 3.0},
+            {"rules.warm_within", 4.0}};
+}
+
+struct Sent {
+    InvId inv;
+    PodId pod;
+    Seconds stop_at;
+};
+struct Cast {
+    Build build;
+    Stage stage;
+    Vote vote;
+};
+
+class Notebook : public Host {
+  public:
+    std::vector<Sent> sent;
+    std::vector<InvId> throttled, terminated;
+    std::vector<std::pair<InvId, DispatchNo>> withdrawn;
+    std::vector<Cast> votes;
+    std::vector<std::string> notes;
+    int follows = 0, fetches = 0, probes = 0;
+
+    void dispatch(InvId inv, const PodId& pod, Seconds stop_at) override { sent.push_back({inv, pod, stop_at}); }
+    void withdraw(InvId inv, DispatchNo no) override { withdrawn.push_back({inv, no}); }
+    void throttle(InvId inv, Seconds) override { throttled.push_back(inv); }
+    void terminate(InvId inv) override { terminated.push_back(inv); }
+    void probe(const PodId&) override { ++probes; }
+    void follow_list() override { ++follows; }
+    void fetch_list() override { ++fetches; }
+    void vote(Build build, Stage stage, Vote vote) override { votes.push_back({build, stage, vote}); }
+    void alarm(Seconds, AlarmId id) override { last_alarm = id; }
+    void note(const std::string& text) override { notes.push_back(text); }
+
+    AlarmId last_alarm;
+    bool noted(const std::string& part) const {
+        for (const auto& note : notes)
+            if (note.find(part) != std::string::npos) return true;
+        return false;
+    }
+};
+
+inline PodLine pod(const std::string& name, int build, Seconds started = 0, int location = 0) {
+    PodLine line;
+    line.pod = PodId{name}, line.build = Build{build}, line.started = started;
+    line.location = Location{location}, line.cell = Cell{location};
+    return line;
+}
+
+// One module with its notebook, and a clock that rings its alarm.
+struct Sidecar {
+    Notebook host;
+    Seconds now = 100;
+    Choice choice;
+    std::uint64_t next = 1;
+
+    explicit Sidecar(const Terms& terms = basic_terms(), std::uint64_t seed = 7) : choice(host, terms, seed, now) {}
+    void run(Seconds span) {
+        for (const Seconds until = now + span; now < until;) {
+            now += 0.02;
+            choice.alarm_rang(now, host.last_alarm);
+        }
+    }
+    InvId take(int op = 0, std::optional<ObjectKey> key = {}, Seconds budget = 2) {
+        const InvId inv{next++};
+        choice.invocation_taken(now, inv, Operation{op}, Customer{0}, key, budget, {});
+        return inv;
+    }
+    void end(const Sent& sent, Outcome outcome, int no = 0, Seconds took = 0.1) {
+        choice.dispatch_ended(now, sent.inv, DispatchNo{no}, sent.pod, outcome, took,
+                              outcome == Outcome::succeeded, {});
+    }
+    // Takes an invocation and ends its dispatch; the outcome may depend on the pod.
+    template <class Judge>
+    void serve(Judge judge, int op = 0, Seconds took = 0.1) {
+        const std::size_t before = host.sent.size();
+        const InvId inv = take(op);
+        if (host.sent.size() == before) return;
+        const Sent sent = host.sent.back();
+        const Outcome outcome = judge(sent.pod);
+        choice.dispatch_ended(now, inv, DispatchNo{0}, sent.pod, outcome, took, true, {});
+    }
+    std::size_t sent_to(const std::string& name) const {
+        std::size_t count = 0;
+        for (const Sent& sent : host.sent) count += sent.pod.value == name;
+        return count;
+    }
+};
+
+}  // namespace tideline::test
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/plain.cpp
@@ -0,0 +1,237 @@
+// Plain cases: each step of the design page against values worked out by hand, and one for each failure found.
+#include "helpers.hpp"
+
+using namespace tideline;
+using namespace tideline::test;
+
+namespace {
+// Two earlier pods, one of the build on trial; the trial told at its first stage, the cap open.
+void open_trial(Sidecar& s, double cap = 1.0) {
+    s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1), pod("b", 1)});
+    s.choice.stage_told(s.now, Build{1}, Stage{0}, Phase::released, 1, 10);
+    s.run(4);
+    s.choice.pods_listed(s.now, ListKind::changes, {pod("n", 2), pod("m", 2)});
+    s.choice.stage_told(s.now, Build{2}, Stage{0}, Phase::trial, cap, 0);
+}
+// Counts so many answers of both builds, `bad` of the trial's failing. Both trial pods fail alike.
+void count(Sidecar& s, int trial, int bad, int earlier) {
+    int failed = 0;
+    for (int t = 0, e = 0; t < trial || e < earlier;) {
+        const std::size_t before = s.host.sent.size();
+        const InvId inv = s.take();
+        if (s.host.sent.size() == before) {
+            s.run(0.1);
+            continue;
+        }
+        const Sent sent = s.host.sent.back();
+        const bool fresh = sent.pod.value == "n" || sent.pod.value == "m";
+        const bool wanted = fresh ? t < trial : e < earlier;
+        Outcome outcome = wanted ? Outcome::succeeded : Outcome::full;
+        if (fresh && wanted && failed < bad) outcome = Outcome::failed, ++failed;
+        if (wanted) ++(fresh ? t : e);
+        s.choice.dispatch_ended(s.now, inv, DispatchNo{0}, sent.pod, outcome, 0.1, true, {});
+        s.run(0.04);
+    }
+    s.run(1.1);
+}
+}  // namespace
+
+TEST_CASE("a score below three failures is 0, so two failures of three mark nothing") {
+    Sidecar s;
+    open_trial(s, 0.5);
+    count(s, 3, 2, 30);
+    CHECK_FALSE(s.host.noted("marked"));
+}
+
+TEST_CASE("three failures of four against none of thirty are marked and voted back, and the mark lasts") {
+    // share 0.75 against 0; pooled 3/34, error 0.151, z 4.97; odds 2/3 e^(2z-2), T 0.0005 <= 0.05.
+    Sidecar s;
+    open_trial(s, 0.5);
+    count(s, 4, 3, 30);
+    CHECK(s.host.noted("operation 0 fails"));
+    REQUIRE_FALSE(s.host.votes.empty());
+    CHECK(s.host.votes.back().vote == Vote::back);
+    s.choice.vote_answered(s.now, VoteReply::counted);
+    s.choice.stage_told(s.now, Build{2}, Stage{1}, Phase::trial, 0.5, 0);
+    s.run(7);
+    CHECK(s.host.votes.back().vote == Vote::back);
+}
+
+TEST_CASE("three failures of thirty are no mark: z 1.84 gives T 0.22") {
+    // shares 0.1 and 0 of 30; pooled 0.05, error 0.0563, z 1.78; odds 2/3 e^1.55 = 3.15, T 0.24.
+    Sidecar s;
+    open_trial(s, 0.9);
+    count(s, 30, 3, 30);
+    CHECK_FALSE(s.host.noted("marked"));
+}
+
+TEST_CASE("an on vote comes after the stage's least time, is renewed late, and again after a lost one") {
+    Sidecar s;
+    open_trial(s);
+    s.run(1.9);
+    CHECK(s.host.votes.empty());
+    s.run(0.3);
+    REQUIRE(s.host.votes.size() == 1);
+    CHECK(s.host.votes[0].vote == Vote::on);
+    s.choice.vote_answered(s.now, VoteReply::failed);
+    s.run(0.6);
+    REQUIRE(s.host.votes.size() == 2);
+    s.choice.vote_answered(s.now, VoteReply::counted);
+    s.run(0.7 * 6);
+    CHECK(s.host.votes.size() == 2);
+    s.run(0.2 * 6 + 0.1);
+    CHECK(s.host.votes.size() == 3);
+    s.run(0.8 + 0.4);  // no answer: it goes again
+    CHECK(s.host.votes.size() == 4);
+}
+
+TEST_CASE("no vote for a build or stage that the news no longer names") {
+    Sidecar s;
+    open_trial(s);
+    s.run(2.2);
+    REQUIRE(s.host.votes.size() == 1);
+    s.choice.vote_answered(s.now, VoteReply::counted);
+    s.choice.stage_told(s.now, Build{2}, Stage{0}, Phase::withdrawn, 0, 0);
+    s.run(10);
+    CHECK(s.host.votes.size() == 1);
+}
+
+TEST_CASE("under a clock a suspicion holds the vote, at most two seconds a stage") {
+    Terms terms = basic_terms();
+    terms["release.moved_by"] = std::string("clock");
+    Sidecar s(terms);
+    open_trial(s, 0.9);
+    for (int i = 0; i < 14; ++i) {  // 4 failures of 14 against none of as many
+        s.serve([&](const PodId& p) { return p.value > "b" && i % 3 == 0 ? Outcome::failed : Outcome::succeeded; });
+        s.run(0.06);
+    }
+    s.run(1.5);
+    for (const Cast& cast : s.host.votes) CHECK(cast.vote != Vote::on);
+}
+
+TEST_CASE("one machine that fails is not its build: the others, as old, clear it") {
+    Sidecar s;
+    open_trial(s, 0.9);
+    for (int i = 0; i < 120; ++i) {
+        s.serve([](const PodId& p) { return p.value == "n" ? Outcome::failed : Outcome::succeeded; });
+        s.run(0.05);
+    }
+    // Until the others had their ten answers a mark may not come either: few reach the failing pod.
+    CHECK(s.sent_to("m") > 20);
+    CHECK_FALSE(s.host.noted("marked"));
+}
+
+TEST_CASE("a pod that fails everything at once does not draw the work") {
+    Sidecar s;
+    s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1), pod("b", 1), pod("c", 1)});
+    s.choice.stage_told(s.now, Build{1}, Stage{0}, Phase::released, 1, 10);
+    for (int i = 0; i < 200; ++i) {
+        s.serve([](const PodId& p) { return p.value == "a" ? Outcome::failed : Outcome::succeeded; });
+        s.run(0.02);
+    }
+    CHECK(s.sent_to("a") < 20);
+}
+
+TEST_CASE("a pod that answers nothing is left alone and its work goes elsewhere") {
+    Sidecar s;
+    s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1), pod("b", 1)});
+    for (int i = 0; i < 40; ++i) s.serve([](const PodId&) { return Outcome::succeeded; });
+    const InvId inv = s.take();
+    const Sent first = s.host.sent.back();
+    s.run(0.5);
+    REQUIRE(s.host.withdrawn.size() == 1);
+    CHECK(s.host.withdrawn[0].first == inv);
+    s.end(first, Outcome::withdrawn);
+    CHECK(s.host.sent.back().inv == inv);
+    CHECK(s.host.sent.back().pod != first.pod);
+}
+
+TEST_CASE("what can't be sent is given up at once, and what may have run is not throttled") {
+    Terms terms = basic_terms();
+    terms["operations.0.effect"] = std::string("side-effecting");
+    Sidecar s(terms);
+    s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1), pod("b", 1)});
+    const InvId inv = s.take();
+    s.end(s.host.sent.back(), Outcome::broken);
+    CHECK(s.host.sent.size() == 1);
+    REQUIRE(s.host.terminated.size() == 1);
+    CHECK(s.host.terminated[0] == inv);
+    CHECK(s.host.throttled.empty());
+}
+
+TEST_CASE("a tally names no pod, and nothing is ever sent to a pod without a name") {
+    Sidecar s;
+    open_trial(s);
+    s.choice.tally_told(s.now, Build{2}, Operation{0}, 50, 40, 0.1);
+    s.run(2);
+    for (int i = 0; i < 50; ++i) s.serve([](const PodId&) { return Outcome::succeeded; });
+    for (const Sent& sent : s.host.sent) CHECK_FALSE(sent.pod.value.empty());
+}
+
+TEST_CASE("a flag for what a pod ran before says nothing of its new build") {
+    Sidecar s;
+    open_trial(s, 0.5);
+    s.choice.pods_listed(s.now, ListKind::changes, {pod("n", 2, s.now)});
+    count(s, 4, 0, 60);
+    for (int i = 0; i < 4; ++i) s.choice.answer_flagged(s.now, Operation{0}, PodId{"n"}, 60);
+    s.run(1.1);
+    CHECK_FALSE(s.host.noted("marked"));
+}
+
+TEST_CASE("a lost list is asked for again, and the whole of it after a second loss") {
+    Terms terms = basic_terms();
+    terms["list.told"] = std::string("asked");
+    Sidecar s(terms);
+    CHECK(s.host.follows == 1);
+    s.choice.list_lost(s.now);
+    s.run(0.5);
+    CHECK(s.host.follows == 2);
+    s.choice.list_lost(s.now);
+    s.run(1);
+    CHECK(s.host.follows == 3);
+    CHECK(s.host.fetches == 1);
+}
+
+TEST_CASE("a term that is missing or out of range is named") {
+    Notebook host;
+    Terms terms = basic_terms();
+    terms.erase("release.window");
+    CHECK_THROWS_WITH(Choice(host, terms, 1, 0), "missing term: release.window");
+    terms = basic_terms();
+    terms["rules.cold_share"] = 2.0;
+    CHECK_THROWS_WITH(Choice(host, terms, 1, 0), "term out of range: rules.cold_share");
+}
+
+TEST_CASE("all sidecars together do not push a cold pod over, however uneven their traffic") {
+    const auto seed = GENERATE(range(1, 6));
+    Terms terms = basic_terms();
+    std::deque<Sidecar> fleet;
+    for (int i = 0; i < 4; ++i) fleet.emplace_back(terms, static_cast<std::uint64_t>(seed * 10 + i));
+    const std::vector<int> weight = {10, 4, 1, 1};  // invocations in 0.1 s: 160 a second, 40 a pod, full load
+    std::vector<Seconds> hits;
+    const Seconds boot = 106;
+    for (auto& s : fleet)
+        s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1), pod("b", 1), pod("c", 1), pod("d", 1)});
+    for (int step = 0; step < 140; ++step) {
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            Sidecar& s = fleet[i];
+            if (step == 62) s.choice.pods_listed(s.now, ListKind::changes, {pod("d", 1, boot)});
+            const std::size_t before = s.host.sent.size();
+            for (int k = 0; k < weight[i]; ++k) s.take();
+            for (std::size_t k = before; k < s.host.sent.size(); ++k) {
+                const Sent sent = s.host.sent[k];
+                if (step >= 62 && sent.pod.value == "d") hits.push_back(s.now);
+                s.end(sent, Outcome::succeeded);
+            }
+            s.run(0.1);
+        }
+    }
+    // It can do 0.35 of 40 a second at first, 2.5 times that for 3 s is 105.
+    for (std::size_t i = 0; i < hits.size(); ++i) {
+        std::size_t within = 0;
+        for (std::size_t k = i; k < hits.size() && hits[k] <= hits[i] + 3; ++k) ++within;
+        const double present = 0.35 + 0.65 * std::max(0.0, hits[i] - boot) / 4;
+        if (hits[i] + 3 < boot + 4) REQUIRE(static_cast<double>(within) <= 2.5 * present * 40 * 3);
+    }
+    CHECK_FALSE(hits.empty());
+}
