--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -10,9 +10,10 @@
 #include <limits>
 #include <random>
 #include <set>
-#include <stdexcept>
 
+#include "records.hpp"
 #include "samples.hpp"
+#include "terms.hpp"
 
 namespace tideline {
 namespace {
@@ -80,9 +81,6 @@
 constexpr Seconds kNever = -std::numeric_limits<double>::infinity();
 constexpr AlarmId kBeatAlarm{1};
 
-enum class Effect { idempotent, fingerprinted, side_effecting };
-enum class Group { all, location, cell };
-
 // What an operation is promised (read at start).
 struct Cover {
     Seconds slo_time = 0, time_limit = 0, repeat_window = 0;
@@ -108,54 +106,16 @@
     Stretch work;                                         // sent here, for the cold guard
 };
 
-struct Dispatch {
-    PodId pod;
-    Location location;
-    Cell cell;
-    Build build;
-    Seconds sent = 0;
-    bool cold = false, warm = true, ended = false, may_have_run = true, withdrawn = false, streaming = false;
-};
-
-struct Invocation {
-    Operation op;
-    Customer customer;
-    std::optional<ObjectKey> key;
-    Seconds taken = 0, ends = 0;
-    double work = 1;
-    std::vector<Dispatch> dispatches;
-    bool concluded = false, waiting = false;
-    bool out() const { return !dispatches.empty() && !dispatches.back().ended; }
-    bool may_have_run() const {
-        return std::any_of(dispatches.begin(), dispatches.end(), [](auto& d) { return d.may_have_run; });
-    }
-};
-
-// What the judge counts in a stage.
-struct Count {
-    double seen = 0, bad = 0;
-    Count operator+(const Count& other) const { return {seen + other.seen, bad + other.bad}; }
-    double share() const { return seen > 0 ? bad / seen : 0; }
-};
-
 // What a build may be marked for: an operation that fails (by stages, as the design page has it); or, over
 // all operations and the whole trial, being slow, or answers that clients flagged as wrong.
 using Charge = Operation;
 constexpr Charge kSlowness{-1}, kFlagged{-2};
 
-struct News {
-    Build build;
-    Stage stage;
-    Phase phase = Phase::trial;
-    double cap = 0;
-    Seconds began = 0;
-};
-
 }  // namespace
 
 struct Choice::Desk {
     Host& host;
-    const Terms terms;
+    const TermsReader terms;
     std::ranlux24_base chance;
     const Seconds start;
     Seconds now;
@@ -202,42 +162,11 @@
         : host(h), terms(t), chance(static_cast<std::uint32_t>(seed ^ (seed >> 32))), start(at), now(at) {
         read_terms();
         host.alarm(kBeat, kBeatAlarm);
-        if (word("list.told", "unasked") == "asked") host.follow_list();
+        if (terms.one_of<bool>("list.told", {{"asked", true}, {"unasked", false}}, "unasked"))
+            host.follow_list();
     }
 
     // --- Terms ------------------------------------------------------------------------------------------
-    double figure(const std::string& name, std::optional<double> otherwise, double least, double most) const {
-        const auto it = terms.find(name);
-        if (it == terms.end()) {
-            if (otherwise) return *otherwise;
-            throw std::invalid_argument("missing term: " + name);
-        }
-        const double* value = std::get_if<double>(&it->second);
-        if (!value || !(*value >= least && *value <= most))
-            throw std::invalid_argument("term out of range: " + name);
-        return *value;
-    }
-    double need(const std::string& name, double least = 0, double most = 1e9) const {
-        return figure(name, std::nullopt, least, most);
-    }
-    double have(const std::string& name, double otherwise) const {
-        return figure(name, otherwise, -1e18, 1e18);
-    }
-    std::string word(const std::string& name, std::optional<std::string> otherwise = std::nullopt) const {
-        const auto it = terms.find(name);
-        const std::string* value = it == terms.end() ? nullptr : std::get_if<std::string>(&it->second);
-        if (value) return *value;
-        if (it == terms.end() && otherwise) return *otherwise;
-        throw std::invalid_argument("missing term: " + name);
-    }
-    template <class Enum>
-    Enum one_of(const std::string& name, const std::map<std::string, Enum>& known,
-                std::optional<std::string> otherwise = std::nullopt) const {
-        const auto it = known.find(word(name, otherwise));
-        if (it == known.end()) throw std::invalid_argument("term out of range: " + name);
-        return it->second;
-    }
-
     Seconds drain_grace, fall_window, warm_within, window, least_time, vote_life, vote_wait;
     double cold_share, fall_multiple, allowance, first_cap, over_share_value;
     int guarded_stages, dispatches_most;
@@ -250,37 +179,39 @@
                                                        {"side-effecting", Effect::side_effecting}};
         const std::map<std::string, Group> groups = {
             {"all", Group::all}, {"location", Group::location}, {"cell", Group::cell}};
-        const int count = static_cast<int>(need("operations.count", 1, 1e6));
+        const int count = static_cast<int>(terms.need("operations.count", 1, 1e6));
         for (int i = 0; i < count; ++i) {
             const std::string at = "operations." + std::to_string(i);
             Cover cover;
-            cover.slo_time = need(at + ".slo_time");
-            cover.time_limit = need(at + ".time_limit");
-            cover.effect = one_of(at + ".effect", effects);
-            cover.group = one_of(at + ".group", groups, "all");
-            if (cover.effect == Effect::fingerprinted) cover.repeat_window = need(at + ".repeat_window");
-            cover.billed_value = have(at + ".billed_value", 1);
-            cover.late_share = have(at + ".late_share", 0);
+            cover.slo_time = terms.need(at + ".slo_time");
+            cover.time_limit = terms.need(at + ".time_limit");
+            cover.effect = terms.one_of(at + ".effect", effects);
+            cover.group = terms.one_of(at + ".group", groups, "all");
+            if (cover.effect == Effect::fingerprinted)
+                cover.repeat_window = terms.need(at + ".repeat_window");
+            cover.billed_value = terms.have(at + ".billed_value", 1);
+            cover.late_share = terms.have(at + ".late_share", 0);
             covers.push_back(cover);
         }
-        drain_grace = need("rules.drain_grace");
-        cold_share = need("rules.cold_share", 0, 1);
-        warm_within = need("rules.warm_within");
-        fall_multiple = need("rules.fall_multiple");
-        fall_window = need("rules.fall_window");
-        window = need("release.window");
-        allowance = need("release.allowance");
-        first_cap = need("release.caps.0", 0, 1);
-        per_operation = one_of<bool>("release.counted_by", {{"all", false}, {"operation", true}});
-        guarded_stages = static_cast<int>(need("release.guarded_stages"));
-        one_way = have("release.one_way_keys", 0) != 0;
-        by_clock = word("release.moved_by") == "clock";
-        least_time = need("release.least_time");
-        vote_life = need("release.vote_life");
-        vote_wait = need("release.vote_wait");
-        dispatches_most = static_cast<int>(need("allowed.dispatches", 1));
-        over_share_value = have("over_share_value", 1);
-        home = Location{static_cast<int>(have("location", 0))};
+        drain_grace = terms.need("rules.drain_grace");
+        cold_share = terms.need("rules.cold_share", 0, 1);
+        warm_within = terms.need("rules.warm_within");
+        fall_multiple = terms.need("rules.fall_multiple");
+        fall_window = terms.need("rules.fall_window");
+        window = terms.need("release.window");
+        allowance = terms.need("release.allowance");
+        first_cap = terms.need("release.caps.0", 0, 1);
+        per_operation = terms.one_of<bool>("release.counted_by", {{"all", false}, {"operation", true}});
+        guarded_stages = static_cast<int>(terms.need("release.guarded_stages"));
+        one_way = terms.allows("release.one_way_keys");
+        by_clock =
+            terms.one_of<bool>("release.moved_by", {{"any", false}, {"count", false}, {"clock", true}});
+        least_time = terms.need("release.least_time");
+        vote_life = terms.need("release.vote_life");
+        vote_wait = terms.need("release.vote_wait");
+        dispatches_most = static_cast<int>(terms.need("allowed.dispatches", 1));
+        over_share_value = terms.have("over_share_value", 1);
+        home = Location{static_cast<int>(terms.have("location", 0))};
     }
 
     double draw(double from, double to) {
@@ -347,8 +278,8 @@
         for (const Dispatch& d : inv.dispatches) {
             if (!d.may_have_run) continue;
             if (now > d.sent + cover.repeat_window) return false;
-            if (cover.group == Group::location && pod.location != d.location) return false;
-            if (cover.group == Group::cell && pod.cell != d.cell) return false;
+            if (cover.group == Group::location && pod.location != d.pod.location) return false;
+            if (cover.group == Group::cell && pod.cell != d.pod.cell) return false;
         }
         return true;
     }
@@ -370,7 +301,7 @@
     }
     double cost(const Pod& pod) const {
         const double far =
-            pod.line.location != home && have("prices.cross_location", 0) > 0 ? kCrossLocation : 1;
+            pod.line.location != home && terms.have("prices.cross_location", 0) > 0 ? kCrossLocation : 1;
         return (pod.out + 1) * std::max(0.2, present(pod)) * far / std::max(1e-3, pod.line.weight);
     }
     bool resting(const Pod& pod) const { return now < pod.rest_until || (pod.rest_for > 0 && !pod.proving); }
@@ -395,8 +326,7 @@
             Pod& pod = it->second;
             if (resting(pod) || pod.out >= in_flight_limit(pod) || !may_go(inv, pod)) continue;
             const double price = cost(pod);
-            const bool again = std::any_of(inv.dispatches.begin(), inv.dispatches.end(),
-                                           [&](auto& d) { return d.pod == pod.line.pod; });
+            const bool again = inv.was_at(pod.line.pod);
             const bool first = on_trial(pod.line.build) && inv.dispatches.empty();
             Pod*& best = again ? last : first ? trial : plain;
             double& best_cost = again ? last_cost : first ? trial_cost : plain_cost;
@@ -409,29 +339,27 @@
     void send(InvId id, Invocation& inv, Pod& pod) {
         ++turn;
         Dispatch d;
-        d.pod = pod.line.pod, d.location = pod.line.location, d.cell = pod.line.cell,
-        d.build = pod.line.build;
-        d.sent = now, ++pod.out;
+        d.pod = pod.line, d.sent = now, ++pod.out;
         d.warm = !cold(pod);
         d.cold = pod.line.started > 0 && now - pod.line.started < kColdUncounted * warm_within;
         inv.dispatches.push_back(d);
         inv.waiting = false;
         pod.work.add(now, inv.work);
         pod.work.forget_before(now - fall_window);
-        if (on_trial(d.build)) {
-            auto& window_of = exposed[{d.build, slot(inv.op)}];
+        if (on_trial(pod.line.build)) {
+            auto& window_of = exposed[{pod.line.build, slot(inv.op)}];
             window_of.add(now);
             window_of.forget_before(now - window);
         }
-        host.dispatch(id, d.pod, inv.ends);
+        host.dispatch(id, pod.line.pod, inv.ends);
     }
 
     // Gives an invocation its final answer, at once.
     void give_up(InvId id, Invocation& inv) {
         inv.concluded = true;
         if (may_throttle(inv)) {
-            const double longest = have("allowed.longest_come_back", 0);
-            const bool advice = have("allowed.come_back", 0) != 0;
+            const double longest = terms.have("allowed.longest_come_back", 0);
+            const bool advice = terms.allows("allowed.come_back");
             host.throttle(id, advice ? draw(kComeBackLeast, 1) * longest : 0);
         } else {
             host.terminate(id);
@@ -447,7 +375,7 @@
         return std::min(inv.taken + std::max(0.0, most), inv.ends - 2 * kBeat);
     }
     bool over_share(Customer customer) {
-        const double share = have("customers." + std::to_string(customer.value) + ".share", 1);
+        const double share = terms.have("customers." + std::to_string(customer.value) + ".share", 1);
         const double from = taken_from[customer].since(now - kRecent), all = taken_all.since(now - kRecent);
         return over_share_value < 1 && from > kOverShare * share * all;
     }
@@ -460,9 +388,7 @@
         } else if (Pod* pod = pick(inv)) {
             return send(id, inv, *pod);
         }
-        const Cover& cover = covers[inv.op.value];
-        if (cover.effect != Effect::idempotent && inv.may_have_run() && !any_place(inv))
-            return give_up(id, inv);
+        if (!any_place(inv)) return give_up(id, inv);
         const double rate = served.since(now - kRecent) / kRecent;
         const double wait = rate > 0 ? static_cast<double>(waiting.size()) / rate : 0;
         if (now + wait > hope_until(inv)) {
@@ -475,9 +401,12 @@
         pressed = now;
         waiting.push_back(id);
     }
+    // Whether a listed pod could take it once there is room; else nothing can be done, and it ends at once.
     bool any_place(const Invocation& inv) const {
         return std::any_of(pods.begin(), pods.end(), [&](auto& entry) {
-            return entry.second.line.state == PodState::ready && may_repeat_at(inv, entry.second.line);
+            const PodLine& line = entry.second.line;
+            return line.state == PodState::ready && may_repeat_at(inv, line) &&
+                   !(on_trial(line.build) && cap_of(line.build) <= 0);
         });
     }
     void serve_waiting() {
@@ -518,7 +447,7 @@
         for (auto& [id, pod] : pods) {
             if (pod.rest_for == 0 || pod.proving || now < pod.rest_until || pod.line.state != PodState::ready)
                 continue;
-            if (have("allowed.probes", 0) == 0)
+            if (!terms.allows("allowed.probes"))
                 pod.proving = true;
             else if (!pod.probed)
                 pod.probed = true, host.probe(id);
@@ -536,19 +465,18 @@
             const Seconds slow =
                 cover.times.size() < kTimesLeast ? cover.slo_time : quantile(cover.times, 0.9);
             if (now - d.sent < std::min(kSilentTimes * slow, kSilentShare * cover.slo_time)) continue;
-            Pod& pod = pods[d.pod];
-            if (pod.last_answer >= d.sent) continue;
+            Pod& pod = pods[d.pod.pod];
+            if (pod.last_answer > d.sent) continue;
             rest(pod, "no answer");
             const bool again = static_cast<int>(inv.dispatches.size()) < dispatches_most && !inv.concluded &&
-                               cover.effect != Effect::side_effecting && have("allowed.withdraw", 0) != 0 &&
+                               cover.effect != Effect::side_effecting && terms.allows("allowed.withdraw") &&
                                now < hope_until(inv);
-            if (again && any_other(inv)) d.withdrawn = true, host.withdraw(id, last_no(inv));
+            if (again && any_other(inv)) d.withdrawn = true, host.withdraw(id, inv.last_no());
         }
     }
-    static DispatchNo last_no(const Invocation& inv) { return {static_cast<int>(inv.dispatches.size()) - 1}; }
     bool any_other(const Invocation& inv) {
         return std::any_of(pods.begin(), pods.end(), [&](auto& entry) {
-            return entry.first != inv.dispatches.back().pod && !resting(entry.second) &&
+            return entry.first != inv.dispatches.back().pod.pod && !resting(entry.second) &&
                    may_go(inv, entry.second);
         });
     }
@@ -617,7 +545,7 @@
     }
     // The score of a charge; 0 on too little evidence. A flag stands for several wrong answers.
     double score(Charge charge) {
-        const double flag = std::max(1e-3, have("release.flagged_share", 0));
+        const double flag = std::max(1e-3, terms.have("release.flagged_share", 0));
         const Count bad = evidence(charge);
         if (charge == kSlowness) return bad.bad < kLeastSlow ? 0 : z_score(bad, before(charge), kSlowFloor);
         if (charge == kFlagged)
@@ -635,7 +563,7 @@
         return ratios;
     }
     void judge() {
-        if (!news || (news->phase != Phase::trial && news->phase != Phase::released)) return;
+        if (!news || !news->judged()) return;
         // A released build is judged by spans, so that its good past does not hide a fault that sets in
         // later.
         if (news->phase == Phase::released && now >= span_ends) {
@@ -666,29 +594,25 @@
                                          ? "answers flagged"
                                          : "operation " + std::to_string(charge.value) + " fails";
             host.note("build " + std::to_string(judged.value) + " marked in stage " +
-                      std::to_string(judged_stage.value) + ": " + what + ", " + part(bad) +
-                      ", earlier build " + part(old));
+                      std::to_string(judged_stage.value) + ": " + what + ", " + bad.text() +
+                      ", earlier build " + old.text());
         }
     }
-    static std::string part(const Count& count) {
-        return std::to_string(static_cast<int>(count.bad)) + " of " +
-               std::to_string(static_cast<int>(count.seen));
-    }
     // Evidence: answers and errors of pods past their cold start. Full refusals, lost connections and silence
     // say something of a machine, not of its build; they go to the pod's health.
     void count_evidence(const Invocation& inv, const Dispatch& d, Outcome outcome, Seconds took) {
-        if (!news || d.build > judged) return;
+        if (!news || d.pod.build > judged) return;
         if (outcome != Outcome::succeeded && outcome != Outcome::failed) return;
-        count(kFlagged, d.pod, d.build, 1, 0);  // flags come for answers of cold pods too
+        count(kFlagged, d.pod.pod, d.pod.build, 1, 0);  // flags come for answers of cold pods too
         if (d.cold) return;
-        count(inv.op, d.pod, d.build, 1, outcome == Outcome::failed);
+        count(inv.op, d.pod.pod, d.pod.build, 1, outcome == Outcome::failed);
         // Danger: under pressure the fuller pods are slower whatever they run, and the trial's are the
         // fuller.
         if (outcome == Outcome::failed || !d.warm || now < pressed + kPressed) return;
         auto& times = earlier_times.try_emplace(inv.op, kTimesKept).first->second;
         if (times.size() >= kTimesLeast)
-            count(kSlowness, d.pod, d.build, 1, took > kSlowTimes * quantile(times, 0.5));
-        if (d.build < judged || news->phase != Phase::trial) times.add(took);
+            count(kSlowness, d.pod.pod, d.pod.build, 1, took > kSlowTimes * quantile(times, 0.5));
+        if (d.pod.build < judged || news->phase != Phase::trial) times.add(took);
     }
 
     void count(Charge charge, const PodId& pod, Build build, double seen, double bad) {
@@ -699,7 +623,7 @@
 
     // --- Votes ------------------------------------------------------------------------------------------
     Vote wanted() const {
-        if (!news || (news->phase != Phase::trial && news->phase != Phase::released)) return Vote::none;
+        if (!news || !news->judged()) return Vote::none;
         if (!marks.empty()) return Vote::back;
         if (news->phase == Phase::released) return Vote::none;
         const Seconds age = now - news->began;
@@ -712,7 +636,7 @@
     // A vote goes out when it differs from the one that stands, and is renewed late in its life at a
     // scattered time; after an error, or no answer, it is sent again. Only for what the news names.
     void cast_votes() {
-        if (!news) return;
+        if (!news || !news->judged()) return;
         if (vote_open && now - vote_sent > vote_wait + kVoteAgain) vote_open = false, vote_due = now;
         if (vote_open) return;
         const Vote want = wanted();
@@ -807,11 +731,11 @@
         Invocation& inv = it->second;
         if (no.value < 0 || no.value >= static_cast<int>(inv.dispatches.size())) return;
         Dispatch& d = inv.dispatches[no.value];
-        if (d.ended || d.pod != pod_id) return;
+        if (d.ended || d.pod.pod != pod_id) return;
         d.ended = true;
         d.may_have_run =
             outcome != Outcome::full && outcome != Outcome::unreachable && outcome != Outcome::moot;
-        Pod& pod = pods[d.pod];
+        Pod& pod = pods[d.pod.pod];
         pod.out = std::max(0, pod.out - 1);
         Cover& cover = covers[inv.op.value];
         switch (outcome) {
@@ -823,7 +747,8 @@
                 if (pod.answers.add(took / std::max(1e-6, cover.shortest()))) set_limit(pod);
                 served.add(now, inv.work);
                 served.forget_before(now - kCarriedOver - fall_window);
-                if (one_way && inv.key && on_trial_or_newest(d.build)) answered_by[*inv.key] = d.build;
+                if (one_way && inv.key && on_trial_or_newest(d.pod.build))
+                    answered_by[*inv.key] = d.pod.build;
                 break;
             case Outcome::failed:
                 // Danger: a pod that fails everything at once looks idle and draws all work to it. Several
@@ -864,6 +789,14 @@
     }
     bool on_trial_or_newest(Build build) const { return on_trial(build) || named(build); }
 
+    void begun(InvId id, DispatchNo no) {
+        const auto it = open.find(id);
+        if (it == open.end() || no.value < 0 || no.value > it->second.last_no().value) return;
+        Dispatch& d = it->second.dispatches[no.value];
+        d.streaming = true;
+        answered(pods[d.pod.pod]);
+    }
+
     void dropped(InvId id) {
         const auto it = open.find(id);
         if (it == open.end()) return;
@@ -918,59 +851,39 @@
     : desk_(std::make_unique<Desk>(host, terms, seed, now)) {}
 Choice::~Choice() = default;
 
-void Choice::pods_listed(Seconds now, ListKind kind, const std::vector<PodLine>& lines) {
+Choice::Desk& Choice::at(Seconds now) {
     desk_->now = now;
-    desk_->listed(kind, lines);
+    return *desk_;
 }
-void Choice::list_lost(Seconds now) {
-    desk_->now = now;
-    desk_->lost();
+void Choice::pods_listed(Seconds now, ListKind kind, const std::vector<PodLine>& lines) {
+    at(now).listed(kind, lines);
 }
+void Choice::list_lost(Seconds now) { at(now).lost(); }
 void Choice::invocation_taken(Seconds now, InvId inv, Operation op, Customer customer,
                               std::optional<ObjectKey> key, Seconds budget, std::optional<Seconds> work) {
-    desk_->now = now;
-    desk_->taken(inv, op, customer, key, budget, work);
-}
-void Choice::stream_begun(Seconds now, InvId inv, DispatchNo no) {
-    desk_->now = now;
-    const auto it = desk_->open.find(inv);
-    if (it == desk_->open.end() || no.value >= static_cast<int>(it->second.dispatches.size())) return;
-    Dispatch& d = it->second.dispatches[no.value];
-    d.streaming = true;
-    desk_->answered(desk_->pods[d.pod]);
+    at(now).taken(inv, op, customer, key, budget, work);
 }
+void Choice::stream_begun(Seconds now, InvId inv, DispatchNo no) { at(now).begun(inv, no); }
 void Choice::dispatch_ended(Seconds now, InvId inv, DispatchNo no, const PodId& pod, Outcome outcome,
                             Seconds took, bool concluded, const Load&) {
-    desk_->now = now;
-    desk_->ended(inv, no, pod, outcome, took, concluded);
-}
-void Choice::invocation_dropped(Seconds now, InvId inv) {
-    desk_->now = now;
-    desk_->dropped(inv);
+    at(now).ended(inv, no, pod, outcome, took, concluded);
 }
+void Choice::invocation_dropped(Seconds now, InvId inv) { at(now).dropped(inv); }
 void Choice::probe_ended(Seconds now, const PodId& pod, Outcome outcome, Seconds, const Load&) {
-    desk_->now = now;
-    desk_->probed(pod, outcome);
+    at(now).probed(pod, outcome);
 }
 void Choice::answer_flagged(Seconds now, Operation, const PodId& pod, Seconds sent_ago) {
-    desk_->now = now;
-    desk_->flagged(pod, sent_ago);
+    at(now).flagged(pod, sent_ago);
 }
 void Choice::tally_told(Seconds now, Build build, Operation op, int count, int failed, Seconds) {
-    desk_->now = now;
-    desk_->count(op, PodId{}, build, count, failed);
+    at(now).count(op, PodId{}, build, count, failed);
 }
 void Choice::stage_told(Seconds now, Build build, Stage stage, Phase phase, double cap, Seconds age) {
-    desk_->now = now;
-    desk_->told_stage(build, stage, phase, cap, age);
-}
-void Choice::vote_answered(Seconds now, VoteReply reply) {
-    desk_->now = now;
-    desk_->vote_told(reply);
+    at(now).told_stage(build, stage, phase, cap, age);
 }
+void Choice::vote_answered(Seconds now, VoteReply reply) { at(now).vote_told(reply); }
 void Choice::alarm_rang(Seconds now, AlarmId alarm) {
-    desk_->now = now;
-    if (alarm == kBeatAlarm) desk_->beat();
+    if (alarm == kBeatAlarm) at(now).beat();
 }
 
 }  // namespace tideline
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -49,6 +49,7 @@
 
   private:
     struct Desk;
+    Desk& at(Seconds now);
     std::unique_ptr<Desk> desk_;
 };
 
--- /dev/null
+++ b/src/records.hpp
@@ -0,0 +1,61 @@
+// What the module writes down of invocations, dispatches, counts and news. Records only: nothing is decided
+// here.
+#pragma once
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+#include "words.hpp"
+
+namespace tideline {
+
+enum class Effect { idempotent, fingerprinted, side_effecting };
+enum class Group { all, location, cell };
+
+struct Dispatch {
+    PodLine pod;  // as listed when it was sent
+    Seconds sent = 0;
+    bool cold = false, warm = true, ended = false, may_have_run = true, withdrawn = false, streaming = false;
+};
+
+struct Invocation {
+    Operation op;
+    Customer customer;
+    std::optional<ObjectKey> key;
+    Seconds taken = 0, ends = 0;
+    double work = 1;  // as told, or 1 each
+    std::vector<Dispatch> dispatches;
+    bool concluded = false, waiting = false;
+
+    bool out() const { return !dispatches.empty() && !dispatches.back().ended; }
+    bool may_have_run() const {
+        return std::any_of(dispatches.begin(), dispatches.end(), [](auto& d) { return d.may_have_run; });
+    }
+    bool was_at(const PodId& pod) const {
+        return std::any_of(dispatches.begin(), dispatches.end(), [&](auto& d) { return d.pod.pod == pod; });
+    }
+    DispatchNo last_no() const { return {static_cast<int>(dispatches.size()) - 1}; }
+};
+
+// Answers counted for or against a build.
+struct Count {
+    double seen = 0, bad = 0;
+    Count operator+(const Count& other) const { return {seen + other.seen, bad + other.bad}; }
+    double share() const { return seen > 0 ? bad / seen : 0; }
+    std::string text() const {
+        return std::to_string(static_cast<int>(bad)) + " of " + std::to_string(static_cast<int>(seen));
+    }
+};
+
+// The newest news of the build on trial, or just released.
+struct News {
+    Build build;
+    Stage stage;
+    Phase phase = Phase::trial;
+    double cap = 0;
+    Seconds began = 0;
+    bool judged() const { return phase == Phase::trial || phase == Phase::released; }
+};
+
+}  // namespace tideline
