--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -29,12 +29,14 @@
 constexpr Seconds kHoldMost = 2;      // s a stage: the design's longest hold
 constexpr Seconds kJudgeEvery = 1;    // s: the design scores once a second
 // The judge (ours).
-constexpr double kLeastSlow = 10;        // answers: slow ones needed; a few come of chance and queues
-constexpr double kSlowTimes = 2;         // multiple of the earlier build's median time that counts as slow
-constexpr double kSlowFloor = 0.14;      // share: slowness differs by machine too, so its error is larger
-constexpr Seconds kPressed = 2;          // s: after pressure, until queues are gone and times mean something
-constexpr double kBesideLeast = 30;      // answers: so many of the earlier build beside, to call a build slow
-constexpr Seconds kSpan = 5;             // s: about a stage; spans in which a released build is judged
+constexpr double kLeastSlow = 10;     // answers: slow ones needed; a few come of chance and queues
+constexpr double kSlowTimes = 2;      // multiple of the earlier build's median time that counts as slow
+constexpr double kSlowFloor = 0.14;   // share: slowness differs by machine too, so its error is larger
+constexpr Seconds kPressed = 2;       // s: after pressure, until queues are gone and times mean something
+constexpr double kFleetFloor = 0.16;  // share: as for slowness, and more, since hours differ as well
+constexpr double kCalmRate = 1.25;   // multiple of the work asked for before: beyond it load may be the cause
+constexpr double kBesideLeast = 30;  // answers: so many of the earlier build beside, to call a build slow
+constexpr Seconds kSpan = 5;         // s: about a stage; spans in which a released build is judged
 constexpr double kEnoughBefore = 100;    // answers: an earlier build's share is known to about 3% then
 constexpr Seconds kSameAge = 1;          // s: pods of one stage start about together; younger ones clear none
 constexpr double kOthersLeast = 10;      // answers: so many good ones of other pods clear a build of one's
@@ -109,7 +111,7 @@
 // What a build may be marked for: an operation that fails (by stages, as the design page has it); or, over
 // all operations and the whole trial, being slow, or answers that clients flagged as wrong.
 using Charge = Operation;
-constexpr Charge kSlowness{-1}, kFlagged{-2};
+constexpr Charge kSlowness{-1}, kFlagged{-2}, kFleet{-3};  // kFleet: slowing the earlier build's pods too
 
 }  // namespace
 
@@ -143,7 +145,9 @@
     bool judged_released = false;
     std::map<Charge, std::map<PodId, Count>> fresh;
     std::map<Charge, Count> earlier, earlier_before;
-    std::map<Operation, LastFew<double>> earlier_times;
+    std::map<Operation, LastFew<double>> earlier_times, calm_times;  // calm: before the trial began
+    Count calm;
+    double calm_rate = 0;
     std::map<Charge, double> finished;  // sum of the log likelihood ratios of finished stages
     std::map<Charge, double> lfdr;
     std::set<Charge> marks;
@@ -492,6 +496,9 @@
                     earlier_before[charge] = earlier_before[charge] + count;
             }
             fresh.clear(), earlier.clear(), finished.clear(), marks.clear();
+            calm_times = earlier_times, calm = Count{}, calm_rate = taken_all.since(now - kRecent);
+            for (const auto& [op, times] : calm_times)
+                for (const double took : times) calm = calm + Count{1, took > slow_line(times) ? 1.0 : 0.0};
         } else {
             // Danger: a fault that shows late, or under load, is shielded by the stages before it: a score of
             // 0 for want of failures speaks for the build as much as a z of 2 speaks against it. So only
@@ -517,6 +524,16 @@
     // machines, so the worst of them is left out: for failures where the others, with enough answers, show
     // none; for slowness always, so that a single machine never shows a build to be slow. Harms where only
     // one machine ever runs the build: then its slowness is not judged.
+    static double slow_line(const LastFew<double>& times) { return kSlowTimes * quantile(times, 0.5); }
+    // The half of the pods that has the least share of bad answers: a fault of some machines leaves it clean.
+    static Count calmer_half(const std::map<PodId, Count>& of_pods) {
+        std::vector<Count> sorted;
+        for (const auto& [pod, count] : of_pods) sorted.push_back(count);
+        std::sort(sorted.begin(), sorted.end(), [](auto& a, auto& b) { return a.share() < b.share(); });
+        Count half;
+        for (std::size_t i = 0; i < (sorted.size() + 1) / 2; ++i) half = half + sorted[i];
+        return half;
+    }
     Seconds started(const PodId& pod) const {
         const auto it = pods.find(pod);
         return it == pods.end() ? 0 : it->second.line.started;
@@ -534,12 +551,14 @@
             if (started(pod) <= started(worst->first) + kSameAge) as_old = as_old + count;
         }
         if (charge == kSlowness) return others;
+        if (charge == kFleet) return calmer_half(fresh[charge]);
         return as_old.seen >= kOthersLeast && as_old.bad == 0 ? others : all;
     }
     // Where the earlier build gets too little in this stage to compare with, all that was seen of it counts.
     // Slowness is compared side by side only: a busier hour makes any build slow.
     Count before(Charge charge) {
         const Count& here = earlier[charge];
+        if (charge == kFleet) return calm;
         if (charge == kSlowness) return here.seen >= kBesideLeast ? here : Count{};
         return charge != kFlagged && here.seen >= kEnoughBefore ? here : here + earlier_before[charge];
     }
@@ -548,6 +567,7 @@
         const double flag = std::max(1e-3, terms.have("release.flagged_share", 0));
         const Count bad = evidence(charge);
         if (charge == kSlowness) return bad.bad < kLeastSlow ? 0 : z_score(bad, before(charge), kSlowFloor);
+        if (charge == kFleet) return bad.bad < kLeastSlow ? 0 : z_score(bad, calm, kFleetFloor);
         if (charge == kFlagged)
             return bad.bad < kLeastFailures ? 0 : z_score(bad, before(charge), kErrorFloor * flag);
         return bad.bad < kLeastFailures ? 0 : z_score(bad, before(charge), kErrorFloor);
@@ -555,7 +575,7 @@
     // log(f1/f0) of each charge's score in the present stage: both unit normal, f1 with mean kBadMean.
     std::map<Charge, double> current_ratios() {
         std::map<Charge, double> ratios;
-        for (int i = kFlagged.value; i < static_cast<int>(covers.size()); ++i) {
+        for (int i = kFleet.value; i < static_cast<int>(covers.size()); ++i) {
             const Charge charge{i};
             const double z = score(charge);
             ratios[charge] = kBadMean * z - kBadMean * kBadMean / 2;
@@ -590,6 +610,7 @@
             const Count bad = evidence(charge), old = before(charge);
             marks.insert(charge);
             const std::string what = charge == kSlowness ? "slow"
+                                     : charge == kFleet  ? "slows all pods"
                                      : charge == kFlagged
                                          ? "answers flagged"
                                          : "operation " + std::to_string(charge.value) + " fails";
@@ -602,6 +623,7 @@
     // say something of a machine, not of its build; they go to the pod's health.
     void count_evidence(const Invocation& inv, const Dispatch& d, Outcome outcome, Seconds took) {
         if (!news || d.pod.build > judged) return;
+        count_fleet(inv, d, outcome, took);
         if (outcome != Outcome::succeeded && outcome != Outcome::failed) return;
         count(kFlagged, d.pod.pod, d.pod.build, 1, 0);  // flags come for answers of cold pods too
         if (d.cold) return;
@@ -610,11 +632,25 @@
         // fuller.
         if (outcome == Outcome::failed || !d.warm || now < pressed + kPressed) return;
         auto& times = earlier_times.try_emplace(inv.op, kTimesKept).first->second;
-        if (times.size() >= kTimesLeast)
-            count(kSlowness, d.pod.pod, d.pod.build, 1, took > kSlowTimes * quantile(times, 0.5));
+        if (times.size() >= kTimesLeast) count(kSlowness, d.pod.pod, d.pod.build, 1, took > slow_line(times));
         if (d.pod.build < judged || news->phase != Phase::trial) times.add(took);
     }
 
+    // Danger: a build that slows all pods, old and new, shows no difference between them, and takes the fleet
+    // down. So the earlier build's answers during the trial are also held against those before it: where even
+    // the calmer half of its pods got slow since this stage began, with no more work asked for, the trial is
+    // the cause. Should also catch a build that eats what all share (a store, a link). Harms where a jam of
+    // other origin sets in during a trial.
+    void count_fleet(const Invocation& inv, const Dispatch& d, Outcome outcome, Seconds took) {
+        const bool told =
+            outcome == Outcome::succeeded || outcome == Outcome::timed_out || outcome == Outcome::withdrawn;
+        if (!told || !d.warm || d.pod.build == judged || news->phase != Phase::trial) return;
+        if (d.sent < news->began || taken_all.since(now - kRecent) > kCalmRate * calm_rate) return;
+        const auto it = calm_times.find(inv.op);
+        if (it == calm_times.end() || it->second.size() < kTimesLeast) return;
+        Count& kept = fresh[kFleet][d.pod.pod];
+        kept = kept + Count{1, took > slow_line(it->second) ? 1.0 : 0.0};
+    }
     void count(Charge charge, const PodId& pod, Build build, double seen, double bad) {
         if (build > judged) return;
         Count& kept = build == judged ? fresh[charge][pod] : earlier[charge];
--- a/tests/plain.cpp
+++ b/tests/plain.cpp
@@ -239,3 +239,45 @@
     }
     CHECK_FALSE(hits.empty());
 }
+
+TEST_CASE("a build that slows the earlier pods too is marked, and a jam by more work is not") {
+    const bool busier = GENERATE(false, true);
+    Sidecar s;
+    s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1), pod("b", 1), pod("c", 1)});
+    s.choice.stage_told(s.now, Build{1}, Stage{0}, Phase::released, 1, 10);
+    const auto well = [](const PodId&) { return Outcome::succeeded; };
+    for (int i = 0; i < 120; ++i) s.serve(well, 0, 0.1), s.run(0.05);
+    s.choice.stage_told(s.now, Build{2}, Stage{0}, Phase::trial, 0.1, 0);
+    for (int i = 0; i < 80; ++i) {
+        for (int k = 0; k < (busier ? 3 : 1); ++k) s.serve(well, 0, i < 20 ? 0.1 : 0.3);
+        s.run(0.05);
+    }
+    CHECK(s.host.noted("slows all pods") == !busier);
+}
+
+TEST_CASE("slowness under pressure is no evidence") {
+    const bool pressed = GENERATE(false, true);
+    Sidecar s;
+    open_trial(s, 0.5);
+    s.choice.pods_listed(s.now, ListKind::changes, {pod("o", 2), pod("p", 2), pod("q", 2), pod("r", 2)});
+    for (int i = 0; i < 150; ++i) {
+        if (pressed && i % 10 == 0) {  // more than all pods have room for: one has to wait
+            std::vector<Sent> out;
+            const std::size_t before = s.host.sent.size();
+            for (int k = 0; k < 60; ++k) s.take();
+            out.assign(s.host.sent.begin() + static_cast<std::ptrdiff_t>(before), s.host.sent.end());
+            for (const Sent& sent : out) s.end(sent, Outcome::full);
+        }
+        const std::size_t before = s.host.sent.size();
+        const InvId inv = s.take();
+        if (s.host.sent.size() == before) continue;
+        const Sent sent = s.host.sent.back();
+        s.choice.dispatch_ended(s.now, inv, DispatchNo{0}, sent.pod, Outcome::succeeded,
+                                sent.pod.value > "b" ? 0.4 : 0.1, true, {});
+        s.run(0.06);
+    }
+    if (pressed)
+        CHECK_FALSE(s.host.noted("marked in stage 0: slow,"));
+    else
+        CHECK(s.host.noted("marked in stage 0: slow,"));
+}
