--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -33,6 +33,7 @@
 constexpr double kSlowTimes = 2;      // multiple of the earlier build's median time that counts as slow
 constexpr double kSlowFloor = 0.14;   // share: slowness differs by machine too, so its error is larger
 constexpr Seconds kPressed = 2;       // s: after pressure, until queues are gone and times mean something
+constexpr double kTallyFloor = 0.1;   // share: tallies count withdrawn and lost dispatches as failed
 constexpr double kFleetFloor = 0.16;  // share: as for slowness, and more, since hours differ as well
 constexpr double kCalmRate = 1.25;   // multiple of the work asked for before: beyond it load may be the cause
 constexpr double kBesideLeast = 30;  // answers: so many of the earlier build beside, to call a build slow
@@ -144,7 +145,7 @@
     Stage judged_stage;
     bool judged_released = false;
     std::map<Charge, std::map<PodId, Count>> fresh;
-    std::map<Charge, Count> earlier, earlier_before;
+    std::map<Charge, Count> earlier, earlier_before, told_fresh, told_earlier;  // told: in tallies
     std::map<Operation, LastFew<double>> earlier_times, calm_times;  // calm: before the trial began
     Count calm;
     double calm_rate = 0;
@@ -496,6 +497,7 @@
                     earlier_before[charge] = earlier_before[charge] + count;
             }
             fresh.clear(), earlier.clear(), finished.clear(), marks.clear();
+            told_fresh.clear(), told_earlier.clear();
             calm_times = earlier_times, calm = Count{}, calm_rate = taken_all.since(now - kRecent);
             for (const auto& [op, times] : calm_times)
                 for (const double took : times) calm = calm + Count{1, took > slow_line(times) ? 1.0 : 0.0};
@@ -507,7 +509,7 @@
                 if (charge == kFlagged) continue;
                 if (score(charge) != 0) finished[charge] += ratio;
                 earlier_before[charge] = earlier_before[charge] + earlier[charge];
-                fresh[charge].clear(), earlier[charge] = Count{};
+                fresh[charge].clear(), earlier[charge] = told_fresh[charge] = Count{};
             }
         }
         lfdr.clear();
@@ -570,7 +572,11 @@
         if (charge == kFleet) return bad.bad < kLeastSlow ? 0 : z_score(bad, calm, kFleetFloor);
         if (charge == kFlagged)
             return bad.bad < kLeastFailures ? 0 : z_score(bad, before(charge), kErrorFloor * flag);
-        return bad.bad < kLeastFailures ? 0 : z_score(bad, before(charge), kErrorFloor);
+        const auto z = [](const Count& now_new, const Count& old, double floor) {
+            return now_new.bad < kLeastFailures ? 0 : z_score(now_new, old, floor);
+        };
+        return std::max(z(bad, before(charge), kErrorFloor),
+                        z(told_fresh[charge], told_earlier[charge], kTallyFloor));
     }
     // log(f1/f0) of each charge's score in the present stage: both unit normal, f1 with mean kBadMean.
     std::map<Charge, double> current_ratios() {
@@ -859,6 +865,15 @@
             count(kFlagged, id, it->second.line.build, 0, 1);
     }
 
+    // Danger: a tally's failures hold what was withdrawn, cold, or lost to machines, and all sidecars read
+    // the same: counted as answers they send good builds back in step. They have a score of their own, with a
+    // larger error.
+    void tallied(Build build, Operation op, const Count& count) {
+        if (build > judged) return;
+        Count& kept = (build == judged ? told_fresh : told_earlier)[op];
+        kept = kept + count;
+    }
+
     void told_stage(Build build, Stage stage, Phase phase, double cap, Seconds age) {
         const bool new_build = !news || build != news->build;
         if (!new_build && cap < news->cap) afresh = now + drain_grace;
@@ -912,7 +927,7 @@
     at(now).flagged(pod, sent_ago);
 }
 void Choice::tally_told(Seconds now, Build build, Operation op, int count, int failed, Seconds) {
-    at(now).count(op, PodId{}, build, count, failed);
+    at(now).tallied(build, op, {static_cast<double>(count), static_cast<double>(failed)});
 }
 void Choice::stage_told(Seconds now, Build build, Stage stage, Phase phase, double cap, Seconds age) {
     at(now).told_stage(build, stage, phase, cap, age);
