Tallies count only what one operation fails beyond all others

Harm: a build that fails all operations alike is left to own evidence where tallies are the only other source.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -564,6 +564,14 @@
         if (charge == kSlowness) return here.seen >= kBesideLeast ? here : Count{};
         return charge != kFlagged && here.seen >= kEnoughBefore ? here : here + earlier_before[charge];
     }
+    // What tallies tell of an operation beyond what hits all operations alike: a cut link, a dead machine.
+    Count told_beyond_all(Operation op) {
+        double common = 1;
+        for (const auto& [each, count] : told_fresh)
+            if (count.seen >= kOthersLeast) common = std::min(common, count.share());
+        const Count& told = told_fresh[op];
+        return {told.seen, std::max(0.0, told.bad - common * told.seen)};
+    }
     // The score of a charge; 0 on too little evidence. A flag stands for several wrong answers.
     double score(Charge charge) {
         const double flag = std::max(1e-3, terms.have("release.flagged_share", 0));
@@ -576,7 +584,7 @@
             return now_new.bad < kLeastFailures ? 0 : z_score(now_new, old, floor);
         };
         return std::max(z(bad, before(charge), kErrorFloor),
-                        z(told_fresh[charge], told_earlier[charge], kTallyFloor));
+                        z(told_beyond_all(charge), told_earlier[charge], kTallyFloor));
     }
     // log(f1/f0) of each charge's score in the present stage: both unit normal, f1 with mean kBadMean.
     std::map<Charge, double> current_ratios() {
--- a/tests/plain.cpp
+++ b/tests/plain.cpp
@@ -281,3 +281,19 @@
     else
         CHECK(s.host.noted("marked in stage 0: slow,"));
 }
+
+TEST_CASE("a tally marks the operation that fails beyond the others, not what hits all alike") {
+    const bool alike = GENERATE(false, true);
+    Terms terms = basic_terms();
+    terms["operations.count"] = 2.0;
+    for (const char* what : {".slo_time", ".time_limit", ".effect", ".group"})
+        terms[std::string("operations.1") + what] = terms[std::string("operations.0") + what];
+    Sidecar s(terms);
+    open_trial(s);
+    for (int op = 0; op < 2; ++op) {
+        s.choice.tally_told(s.now, Build{1}, Operation{op}, 100, 1, 0.1);
+        s.choice.tally_told(s.now, Build{2}, Operation{op}, 20, op == 0 || alike ? 12 : 0, 0.1);
+    }
+    s.run(1.5);
+    CHECK(s.host.noted("operation 0 fails") == !alike);
+}
