--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -552,7 +552,7 @@
             others = others + count;
             if (started(pod) <= started(worst->first) + kSameAge) as_old = as_old + count;
         }
-        if (charge == kSlowness) return others;
+        if (charge == kSlowness) return fresh[charge].size() > 1 ? calmer_half(fresh[charge]) : Count{};
         if (charge == kFleet) return calmer_half(fresh[charge]);
         return as_old.seen >= kOthersLeast && as_old.bad == 0 ? others : all;
     }
