--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -29,7 +29,7 @@
 constexpr Seconds kHoldMost = 2;      // s a stage: the design's longest hold
 constexpr Seconds kJudgeEvery = 1;    // s: the design scores once a second
 // The judge (ours).
-constexpr double kLeastSlow = 10;     // answers: slow ones needed; a few come of chance and queues
+constexpr double kLeastSlow = 15;     // answers: slow ones needed; a few come of chance and queues
 constexpr double kSlowTimes = 2;      // multiple of the earlier build's median time that counts as slow
 constexpr double kSlowFloor = 0.14;   // share: slowness differs by machine too, so its error is larger
 constexpr Seconds kPressed = 2;       // s: after pressure, until queues are gone and times mean something
