--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -29,7 +29,7 @@
 constexpr Seconds kHoldMost = 2;      // s a stage: the design's longest hold
 constexpr Seconds kJudgeEvery = 1;    // s: the design scores once a second
 // The judge (ours).
-constexpr double kLeastSlow = 15;     // answers: slow ones needed; a few come of chance and queues
+constexpr double kLeastSlow = 12;     // answers: slow ones needed; a few come of chance and queues
 constexpr double kSlowTimes = 2;      // multiple of the earlier build's median time that counts as slow
 constexpr double kSlowFloor = 0.14;   // share: slowness differs by machine too, so its error is larger
 constexpr Seconds kPressed = 2;       // s: after pressure, until queues are gone and times mean something
@@ -62,7 +62,7 @@
 constexpr double kLimitLeast = 1;        // dispatches: so that a pod still shows how it does
 constexpr double kWaitShare = 0.35;      // share of the SLO time that an invocation may wait here
 constexpr double kCrossLocation = 1.3;   // multiple: cost of a pod elsewhere, where crossing has a price
-constexpr double kTrialPatience = 1.6;   // multiple: a trial pod dearer than this x an earlier is passed by
+constexpr double kTrialPatience = 2.0;   // multiple: a trial pod dearer than this x an earlier is passed by
 constexpr Seconds kRestFirst = 0.5;      // s: first rest of a pod that failed; doubles
 constexpr Seconds kRestMost = 6;         // s: longest rest, about as late as lists tell of a death
 constexpr Seconds kRestNoted = 1.5;      // s: a rest this long is worth a line in the log
