--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -128,8 +128,8 @@
     std::size_t most_ready = 1;  // the most pods ever listed as ready at once
     std::map<InvId, Invocation> open;
     std::deque<InvId> waiting;
-    std::uint64_t turn = 0;  // of the rotation
-    Stretch served;
+    std::uint64_t turn = 0;        // of the rotation
+    Stretch served, served_count;  // work, and invocations
     std::map<Customer, Stretch> taken_from;
     Stretch taken_all;
     Seconds limit_noted = kNever;
@@ -175,7 +175,7 @@
     Seconds drain_grace, fall_window, warm_within, window, least_time, vote_life, vote_wait;
     double cold_share, fall_multiple, allowance, first_cap, over_share_value;
     int guarded_stages, dispatches_most;
-    bool per_operation, one_way, by_clock;
+    bool per_operation, one_way, by_clock, by_work;
     Location home;
 
     void read_terms() {
@@ -211,6 +211,7 @@
         one_way = terms.allows("release.one_way_keys");
         by_clock =
             terms.one_of<bool>("release.moved_by", {{"any", false}, {"count", false}, {"clock", true}});
+        by_work = terms.one_of<bool>("valued_by", {{"request", false}, {"work", true}}, "request");
         least_time = terms.need("release.least_time");
         vote_life = terms.need("release.vote_life");
         vote_wait = terms.need("release.vote_wait");
@@ -394,8 +395,12 @@
             return send(id, inv, *pod);
         }
         if (!any_place(inv)) return give_up(id, inv);
-        const double rate = served.since(now - kRecent) / kRecent;
-        const double wait = rate > 0 ? static_cast<double>(waiting.size()) / rate : 0;
+        const auto ahead = std::count_if(waiting.begin(), waiting.end(), [&](InvId each) {
+            const auto it = open.find(each);
+            return it != open.end() && earns(it->second) >= earns(inv);
+        });
+        const double rate = served_count.since(now - kRecent) / kRecent;
+        const double wait = rate > 0 ? static_cast<double>(ahead) / rate : 0;
         if (now + wait > hope_until(inv)) {
             if (now > limit_noted + kNoteAgain)
                 host.note("limit reached: throttling what can't be answered in time");
@@ -414,13 +419,19 @@
                    !(on_trial(line.build) && cap_of(line.build) <= 0);
         });
     }
+    // Under pressure what earns most for its work goes first; among equals what came first.
+    double earns(const Invocation& inv) const {
+        const Cover& cover = covers[inv.op.value];
+        return cover.billed_value / (by_work ? 1 : std::max(1e-6, cover.shortest()));
+    }
     void serve_waiting() {
         std::deque<InvId> still;
         std::swap(still, waiting);
+        std::erase_if(still, [&](InvId id) { return !open.contains(id) || !open.at(id).waiting; });
+        std::stable_sort(still.begin(), still.end(),
+                         [&](InvId a, InvId b) { return earns(open.at(a)) > earns(open.at(b)); });
         for (const InvId id : still) {
-            const auto it = open.find(id);
-            if (it == open.end() || !it->second.waiting) continue;
-            Invocation& inv = it->second;
+            Invocation& inv = open.at(id);
             if (Pod* pod = pick(inv))
                 send(id, inv, *pod);
             else if (now > hope_until(inv))
@@ -796,6 +807,8 @@
                 cover.runs.add(took);
                 if (pod.answers.add(took / std::max(1e-6, cover.shortest()))) set_limit(pod);
                 served.add(now, inv.work);
+                served_count.add(now);
+                served_count.forget_before(now - kRecent);
                 served.forget_before(now - kCarriedOver - fall_window);
                 if (one_way && inv.key && on_trial_or_newest(d.pod.build))
                     answered_by[*inv.key] = d.pod.build;
--- a/tests/plain.cpp
+++ b/tests/plain.cpp
@@ -297,3 +297,22 @@
     s.run(1.5);
     CHECK(s.host.noted("operation 0 fails") == !alike);
 }
+
+TEST_CASE("under pressure what earns most for its work goes first") {
+    Terms terms = basic_terms();
+    terms["operations.count"] = 2.0;
+    for (const char* what : {".slo_time", ".time_limit", ".effect", ".group"})
+        terms[std::string("operations.1") + what] = terms[std::string("operations.0") + what];
+    terms["operations.0.billed_value"] = 1.0;
+    terms["operations.1.billed_value"] = 6.0;
+    Sidecar s(terms);
+    s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1)});
+    for (int i = 0; i < 40; ++i) s.serve([](const PodId&) { return Outcome::succeeded; }), s.run(0.02);
+    while (s.host.throttled.empty()) s.take(0);  // the pod is full, and as much waits as can
+    const std::size_t before = s.host.sent.size();
+    const Sent first = s.host.sent.back();
+    const InvId dear = s.take(1);
+    s.end(first, Outcome::succeeded);
+    REQUIRE(s.host.sent.size() == before + 1);
+    CHECK(s.host.sent.back().inv == dear);
+}
