--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -69,11 +69,11 @@
 constexpr Seconds kNoteAgain = 10;       // s: between two log lines that a limit is reached
 constexpr int kFailedInRow = 5;          // answers: so many failures in a row are no matter of chance
 constexpr Seconds kRestFull = 0.1;       // s: rest of a pod that turned work away
-constexpr double kSilentTimes = 3;       // multiple of an operation's slow answer (90%): then a pod is silent
-constexpr double kSilentShare = 0.6;     // share of the SLO time: ... or at this, so that a second try fits
-constexpr double kOverShare = 1.25;      // multiple of a customer's share: beyond it first to be throttled
-constexpr Seconds kRecent = 3;           // s: stretch over which own traffic is looked at
-constexpr double kComeBackLeast = 0.5;   // share of the longest come-back time: scattered from here up
+constexpr double kSilentTimes = 1.5;     // multiple of an operation's slow answer (90%): longer is silence
+constexpr double kSilentShare = 0.6;  // share of the SLO time: silence is no shorter; a second try still fits
+constexpr double kOverShare = 1.25;   // multiple of a customer's share: beyond it first to be throttled
+constexpr Seconds kRecent = 3;        // s: stretch over which own traffic is looked at
+constexpr double kComeBackLeast = 0.5;  // share of the longest come-back time: scattered from here up
 // Rules.
 constexpr double kColdSafety = 0.6;   // share of what would push a cold pod over, all sidecars together
 constexpr Seconds kCarriedOver = 10;  // s: stretch that shows what the other pods carry
@@ -472,6 +472,8 @@
     // Danger: a pod that takes work and answers nothing holds every invocation sent there until its limit.
     // Silence longer than slow answers explain, with no other answer since, ends the wait: the pod rests, and
     // what may run again elsewhere is withdrawn and goes there. May harm a pod with one long piece of work.
+    // Second danger: in a jam all pods are slow, and work sent twice feeds it; so slow answers lengthen the
+    // wait.
     void look_for_silence() {
         for (auto& [id, inv] : open) {
             if (!inv.out()) continue;
@@ -480,7 +482,7 @@
             const Cover& cover = covers[inv.op.value];
             const Seconds slow =
                 cover.times.size() < kTimesLeast ? cover.slo_time : quantile(cover.times, 0.9);
-            if (now - d.sent < std::min(kSilentTimes * slow, kSilentShare * cover.slo_time)) continue;
+            if (now - d.sent < std::max(kSilentTimes * slow, kSilentShare * cover.slo_time)) continue;
             Pod& pod = pods[d.pod.pod];
             if (pod.last_answer > d.sent) continue;
             rest(pod, "no answer");
--- a/tests/plain.cpp
+++ b/tests/plain.cpp
@@ -259,7 +259,7 @@
     const bool pressed = GENERATE(false, true);
     Sidecar s;
     open_trial(s, 0.5);
-    s.choice.pods_listed(s.now, ListKind::changes, {pod("o", 2), pod("p", 2), pod("q", 2), pod("r", 2)});
+    s.choice.pods_listed(s.now, ListKind::changes, {pod("o", 2), pod("p", 2), pod("q", 2), pod("r", 2), pod("s", 2), pod("t", 2)});
     for (int i = 0; i < 150; ++i) {
         if (pressed && i % 10 == 0) {  // more than all pods have room for: one has to wait
             std::vector<Sent> out;
