--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -479,6 +479,7 @@
             if (!inv.out()) continue;
             Dispatch& d = inv.dispatches.back();
             if (d.withdrawn || d.streaming) continue;
+            count_fleet(inv, d, now - d.sent, false);
             const Cover& cover = covers[inv.op.value];
             const Seconds slow =
                 cover.times.size() < kTimesLeast ? cover.slo_time : quantile(cover.times, 0.9);
@@ -650,7 +651,6 @@
     // say something of a machine, not of its build; they go to the pod's health.
     void count_evidence(const Invocation& inv, const Dispatch& d, Outcome outcome, Seconds took) {
         if (!news || d.pod.build > judged) return;
-        count_fleet(inv, d, outcome, took);
         if (outcome != Outcome::succeeded && outcome != Outcome::failed) return;
         count(kFlagged, d.pod.pod, d.pod.build, 1, 0);  // flags come for answers of cold pods too
         if (d.cold) return;
@@ -668,15 +668,18 @@
     // the calmer half of its pods got slow since this stage began, with no more work asked for, the trial is
     // the cause. Should also catch a build that eats what all share (a store, a link). Harms where a jam of
     // other origin sets in during a trial.
-    void count_fleet(const Invocation& inv, const Dispatch& d, Outcome outcome, Seconds took) {
-        const bool told =
-            outcome == Outcome::succeeded || outcome == Outcome::timed_out || outcome == Outcome::withdrawn;
-        if (!told || !d.warm || d.pod.build == judged || news->phase != Phase::trial) return;
+    // What is still out counts as slow as soon as it is, since in a jam answers come too late to help.
+    void count_fleet(const Invocation& inv, Dispatch& d, Seconds took, bool ended) {
+        if (!news || news->phase != Phase::trial || d.fleet_counted || !d.warm || d.pod.build >= judged)
+            return;
         if (d.sent < news->began || taken_all.since(now - kRecent) > kCalmRate * calm_rate) return;
         const auto it = calm_times.find(inv.op);
         if (it == calm_times.end() || it->second.size() < kTimesLeast) return;
+        const bool slow = took > slow_line(it->second);
+        if (!slow && !ended) return;
+        d.fleet_counted = true;
         Count& kept = fresh[kFleet][d.pod.pod];
-        kept = kept + Count{1, took > slow_line(it->second) ? 1.0 : 0.0};
+        kept = kept + Count{1, slow ? 1.0 : 0.0};
     }
     void count(Charge charge, const PodId& pod, Build build, double seen, double bad) {
         if (build > judged) return;
@@ -840,6 +843,7 @@
             case Outcome::moot:
                 break;
         }
+        if (outcome == Outcome::succeeded || outcome == Outcome::timed_out) count_fleet(inv, d, took, true);
         count_evidence(inv, d, outcome, took);
         if (concluded) inv.concluded = true;
         if (inv.concluded)
