--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -33,6 +33,7 @@
 constexpr double kSlowTimes = 2;      // multiple of the earlier build's median time that counts as slow
 constexpr double kSlowFloor = 0.14;   // share: slowness differs by machine too, so its error is larger
 constexpr Seconds kPressed = 2;       // s: after pressure, until queues are gone and times mean something
+constexpr double kFlagGranted = 0.5;  // flag: none seen of the earlier build is no proof that none is false
 constexpr double kTallyFloor = 0.1;   // share: tallies count withdrawn and lost dispatches as failed
 constexpr double kFleetFloor = 0.16;  // share: as for slowness, and more, since hours differ as well
 constexpr double kCalmRate = 1.25;   // multiple of the work asked for before: beyond it load may be the cause
@@ -593,7 +594,9 @@
         if (charge == kSlowness) return bad.bad < kLeastSlow ? 0 : z_score(bad, before(charge), kSlowFloor);
         if (charge == kFleet) return bad.bad < kLeastSlow ? 0 : z_score(bad, calm, kFleetFloor);
         if (charge == kFlagged)
-            return bad.bad < kLeastFailures ? 0 : z_score(bad, before(charge), kErrorFloor * flag);
+            return bad.bad < kLeastFailures
+                       ? 0
+                       : z_score(bad, before(charge) + Count{0, kFlagGranted}, kErrorFloor * flag);
         const auto z = [](const Count& now_new, const Count& old, double floor) {
             return now_new.bad < kLeastFailures ? 0 : z_score(now_new, old, floor);
         };
