--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -470,16 +470,14 @@
                 pod.probed = true, host.probe(id);
         }
     }
-    // Danger: a pod that takes work and answers nothing holds every invocation sent there until its limit.
-    // Silence longer than slow answers explain, with no other answer since, ends the wait: the pod rests, and
-    // what may run again elsewhere is withdrawn and goes there. May harm a pod with one long piece of work.
-    // Second danger: in a jam all pods are slow, and work sent twice feeds it; so slow answers lengthen the
-    // wait.
+    // Danger: a pod that takes work and answers nothing draws more. Silence longer than slow answers explain,
+    // with no other answer since, puts it to rest. What waits there is left alone: most of it is late, not
+    // lost, the pod goes on with it, and sending it again feeds a jam (measured: docs/design.md).
     void look_for_silence() {
         for (auto& [id, inv] : open) {
             if (!inv.out()) continue;
             Dispatch& d = inv.dispatches.back();
-            if (d.withdrawn || d.streaming) continue;
+            if (d.streaming) continue;
             count_fleet(inv, d, now - d.sent, false);
             const Cover& cover = covers[inv.op.value];
             const Seconds slow =
@@ -488,18 +486,8 @@
             Pod& pod = pods[d.pod.pod];
             if (pod.last_answer > d.sent) continue;
             rest(pod, "no answer");
-            const bool again = static_cast<int>(inv.dispatches.size()) < dispatches_most && !inv.concluded &&
-                               cover.effect != Effect::side_effecting && terms.allows("allowed.withdraw") &&
-                               now < hope_until(inv);
-            if (again && any_other(inv)) d.withdrawn = true, host.withdraw(id, inv.last_no());
         }
     }
-    bool any_other(const Invocation& inv) {
-        return std::any_of(pods.begin(), pods.end(), [&](auto& entry) {
-            return entry.first != inv.dispatches.back().pod.pod && !resting(entry.second) &&
-                   may_go(inv, entry.second);
-        });
-    }
 
     // --- The judge --------------------------------------------------------------------------------------
     void open_stage(bool new_build) {
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -14,7 +14,6 @@
   public:
     virtual ~Host() = default;
     virtual void dispatch(InvId inv, const PodId& pod, Seconds stop_at) = 0;
-    virtual void withdraw(InvId inv, DispatchNo no) = 0;
     virtual void throttle(InvId inv, Seconds come_back) = 0;  // 0: no advice
     virtual void terminate(InvId inv) = 0;
     virtual void probe(const PodId& pod) = 0;
