--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -174,7 +174,7 @@
 
     // --- Terms ------------------------------------------------------------------------------------------
     Seconds drain_grace, fall_window, warm_within, window, least_time, vote_life, vote_wait;
-    double cold_share, fall_multiple, allowance, first_cap, over_share_value;
+    double sidecars, back_votes, cold_share, fall_multiple, allowance, first_cap, over_share_value;
     int guarded_stages, dispatches_most;
     bool per_operation, one_way, by_clock, by_work;
     Location home;
@@ -200,6 +200,8 @@
             covers.push_back(cover);
         }
         drain_grace = terms.need("rules.drain_grace");
+        sidecars = terms.have("sidecars", 1);
+        back_votes = terms.have("release.back_votes", 1);
         cold_share = terms.need("rules.cold_share", 0, 1);
         warm_within = terms.need("rules.warm_within");
         fall_multiple = terms.need("rules.fall_multiple");
@@ -612,8 +614,13 @@
         }
         std::vector<std::pair<double, Charge>> sorted;
         for (const auto& [charge, ratio] : current_ratios()) {
-            const double odds =
-                kPriorBad / (1 - kPriorBad) * std::exp(std::min(500.0, finished[charge] + ratio));
+            // Danger: where one vote of many sidecars sends a build back, each one's chance of a false mark
+            // adds up. Slowness, the crudest charge, starts from odds divided by the sidecars a vote stands
+            // for.
+            const double many = std::max(1.0, sidecars / std::max(1.0, back_votes));
+            const double looks = charge == kSlowness ? many : 1;
+            const double ratio_all = std::min(500.0, finished[charge] + ratio);
+            const double odds = kPriorBad / (1 - kPriorBad) / looks * std::exp(ratio_all);
             lfdr[charge] = 1 / (1 + odds);
             if (!marks.contains(charge)) sorted.push_back({lfdr[charge], charge});
         }
