--- a/tests/random.cpp
+++ b/tests/random.cpp
@@ -225,15 +225,23 @@
         for (auto& [at, id] : ring) choice.alarm_rang(now, id);
         for (auto& [inv, c] : cases) {
             for (std::size_t i = 0; i < c.tries.size(); ++i) {
-                if (c.tries[i].ended || c.tries[i].ends_at > now) continue;
                 Try& t = c.tries[i];
+                if (!t.ended && !t.streaming && c.answers == 0 && chance(0.005)) {
+                    // A stream begins: no time-out and no time limit any more; its end concludes.
+                    t.streaming = true, c.ends = 1e18, t.ends_at = now + 0.1 * pick(30);
+                    t.outcome = chance(0.5) ? Outcome::succeeded : Outcome::broken;
+                    choice.stream_begun(now, inv, DispatchNo{static_cast<int>(i)});
+                }
+                if (t.ended || t.ends_at > now) continue;
                 t.ended = true;
                 t.never_ran = t.outcome == Outcome::full || t.outcome == Outcome::unreachable ||
                               t.outcome == Outcome::moot;
-                const bool done = t.outcome == Outcome::succeeded || c.answers > 0 || c.dropped;
-                if (t.outcome == Outcome::succeeded && c.answers == 0) {
+                const bool done =
+                    t.outcome == Outcome::succeeded || t.streaming || c.answers > 0 || c.dropped;
+                if ((t.outcome == Outcome::succeeded || t.streaming) && c.answers == 0) {
                     c.answers = 1;
-                    if (c.key && news && t.pod.build == news->first) answered[*c.key] = t.pod.build;
+                    if (t.outcome == Outcome::succeeded && c.key && news && t.pod.build == news->first)
+                        answered[*c.key] = t.pod.build;
                 }
                 const Try copy = t;
                 choice.dispatch_ended(now, inv, DispatchNo{static_cast<int>(i)}, copy.pod.pod, copy.outcome,
