--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -873,7 +873,8 @@
         if (concluded) inv.concluded = true;
         if (inv.concluded)
             open.erase(it);
-        else if (outcome == Outcome::moot || (outcome == Outcome::timed_out && now >= inv.ends - kBeat))
+        else if ((outcome == Outcome::moot && !d.recalled) ||
+                 (outcome == Outcome::timed_out && now >= inv.ends - kBeat))
             give_up(id, inv);
         else
             place(id, inv);
@@ -889,6 +890,18 @@
         answered(pods[d.pod.pod]);
     }
 
+    // Danger: what waits for a connection goes out late; by then its pod may drain or have started anew, or
+    // the build's cap may have fallen. It is recalled and placed again.
+    bool still_good(InvId id, DispatchNo no) {
+        const auto it = open.find(id);
+        if (it == open.end() || it->second.concluded || no != it->second.last_no()) return false;
+        Dispatch& d = it->second.dispatches.back();
+        const PodLine& line = pods[d.pod.pod].line;
+        d.recalled = line.state != PodState::ready || line.build != d.pod.build ||
+                     line.started != d.pod.started ||
+                     (on_trial(line.build) && (cap_of(line.build) <= 0 || afresh > d.sent + drain_grace));
+        return !d.recalled && now < it->second.ends;
+    }
     void dropped(InvId id) {
         const auto it = open.find(id);
         if (it == open.end()) return;
@@ -968,6 +981,7 @@
                             Seconds took, bool concluded, const Load&) {
     at(now).ended(inv, no, pod, outcome, took, concluded);
 }
+bool Choice::still_good(Seconds now, InvId inv, DispatchNo no) { return at(now).still_good(inv, no); }
 void Choice::invocation_dropped(Seconds now, InvId inv) { at(now).dropped(inv); }
 void Choice::probe_ended(Seconds now, const PodId& pod, Outcome outcome, Seconds, const Load&) {
     at(now).probed(pod, outcome);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -38,6 +38,9 @@
     void stream_begun(Seconds now, InvId inv, DispatchNo no);
     void dispatch_ended(Seconds now, InvId inv, DispatchNo no, const PodId& pod, Outcome outcome,
                         Seconds took, bool concluded, const Load& load);
+    // Asked just before the first byte of a dispatch that had to wait for a connection. If it may no longer
+    // go, it has to end as moot.
+    bool still_good(Seconds now, InvId inv, DispatchNo no);
     void invocation_dropped(Seconds now, InvId inv);
     void probe_ended(Seconds now, const PodId& pod, Outcome outcome, Seconds took, const Load& load);
     void answer_flagged(Seconds now, Operation op, const PodId& pod, Seconds sent_ago);
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -8,7 +8,7 @@
 #include <stdexcept>
 
 #include "choice.hpp"
-#include "drill/terms.hpp"
+#include "terms_of.hpp"
 
 namespace tideline::drill {
 namespace {
--- /dev/null
+++ b/src/net/call.cpp
@@ -0,0 +1,92 @@
+#include "net/call.hpp"
+
+#include <fmt/core.h>
+
+namespace tideline::net {
+
+class Call::Stream : public Link, HttpReader::Taker {
+  public:
+    Stream(Call& call, std::string path, Seconds first, Seconds silence)
+        : Link(call.loop_), call_(call), path_(std::move(path)), first_(first), silence_(silence) {
+        wait(kPeerConnect, "no connection");
+        open(call.address_);
+    }
+    ~Stream() override { loop_.due.cancel(limit_); }
+
+  protected:
+    void came_up() override {
+        put(fmt::format("GET {} HTTP/1.1\r\nHost: peer\r\nAccept: application/json\r\n\r\n", path_));
+        wait(first_, "silent");
+    }
+    void came_in() override {
+        wait(call_.spoke_ ? silence_ : first_, "silent");
+        const std::size_t used = reader_.take(in_.all(), *this);
+        if (closed()) return;
+        in_.drop(used);
+        if (lost_.empty() && reader_.broken()) lost_ = "broken answer";
+        if (!lost_.empty()) return call_.lose(lost_);
+        if (whole_) call_.told_.whole();
+    }
+    void ended() override {
+        reader_.connection_ended(*this);
+        if (whole_ && lost_.empty()) return call_.told_.whole();
+        call_.lose("ended");
+    }
+    void head(int status) override {
+        if (status != 200) lost_ = fmt::format("status {}", status);
+    }
+    void body(std::string_view bytes) override {
+        if (!lost_.empty()) return;
+        const bool fits = lines_.add(bytes, kLineMost, [&](const std::string& line) {
+            if (closed()) return;
+            call_.spoke_ = true;
+            call_.told_.line(line);
+        });
+        if (!fits) lost_ = "endless line";
+    }
+    void end() override {
+        body("\n");  // a last line without its end
+        whole_ = true;
+    }
+
+  private:
+    void wait(Seconds span, const char* why) {
+        loop_.due.cancel(limit_);
+        limit_ = loop_.due.at(clock_now() + span, [this, why] {
+            limit_ = Due::kNone;
+            call_.lose(why);
+        });
+    }
+    Call& call_;
+    const std::string path_;
+    const Seconds first_, silence_;
+    HttpReader reader_;
+    Lines lines_;
+    bool whole_ = false;
+    std::string lost_;
+    Due::Key limit_ = Due::kNone;
+};
+
+Call::Call(Loop& loop, Address address) : loop_(loop), address_(address) {}
+Call::~Call() { drop(); }
+
+void Call::begin(const std::string& path, Seconds first, Seconds silence, Told told) {
+    drop();
+    told_ = std::move(told);
+    link_ = std::make_unique<Stream>(*this, path, first, silence);
+}
+
+void Call::drop() {
+    spoke_ = false;
+    if (!link_) return;
+    link_->close();
+    loop_.bury(std::move(link_));
+}
+
+void Call::lose(const std::string& why) {
+    drop();
+    const auto lost = told_.lost;  // it may begin the next call
+    lost(why);
+}
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/call.hpp
@@ -0,0 +1,39 @@
+// One HTTP call on a connection of its own, whose answer is read line by line as it comes: a single answer,
+// or a stream that stays open. Silence for longer than allowed, a wrong status or a broken answer lose it.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/http.hpp"
+#include "net/link.hpp"
+
+namespace tideline::net {
+
+class Call {
+  public:
+    struct Told {
+        std::function<void(const std::string& line)> line;
+        std::function<void()> whole;                       // the answer has come to its end
+        std::function<void(const std::string& why)> lost;  // before that
+    };
+    Call(Loop& loop, Address address);
+    ~Call();
+    // Ends the one before. `silence` is the longest allowed, `first` that before the first line.
+    void begin(const std::string& path, Seconds first, Seconds silence, Told told);
+    void drop();
+    bool open() const { return link_ != nullptr; }
+    bool spoke() const { return spoke_; }  // at least a line has come
+
+  private:
+    class Stream;
+    void lose(const std::string& why);
+    Loop& loop_;
+    const Address address_;
+    std::unique_ptr<Stream> link_;
+    bool spoke_ = false;
+    Told told_;
+};
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/http.cpp
@@ -0,0 +1,135 @@
+#include "net/http.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+#include "net/limits.hpp"
+
+namespace tideline::net {
+namespace {
+
+std::string lower(std::string_view text) {
+    std::string small(text);
+    std::transform(small.begin(), small.end(), small.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return small;
+}
+bool whole_number(std::string_view text, int base, unsigned long long& value) {
+    const char* end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, value, base);
+    return !text.empty() && read.ec == std::errc{} && read.ptr == end;
+}
+std::string_view trimmed(std::string_view text) {
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t' || text.back() == '\r'))
+        text.remove_suffix(1);
+    return text;
+}
+
+}  // namespace
+
+void HttpReader::finish(Taker& taker) {
+    state_ = State::head;
+    taker.end();
+}
+
+bool HttpReader::read_head(std::string_view head, Taker& taker) {
+    // HTTP/1.1 200 OK
+    unsigned long long status = 0;
+    if (!head.starts_with("HTTP/1.") || head.size() < 12 || head[8] != ' ' ||
+        !whole_number(head.substr(9, 3), 10, status))
+        return false;
+    bool chunked = false, told = false;
+    for (auto end = head.find('\n'); end != std::string_view::npos; end = head.find('\n')) {
+        head.remove_prefix(end + 1);
+        const std::string_view line = head.substr(0, head.find('\n'));
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos) continue;
+        const std::string name = lower(line.substr(0, colon));
+        const std::string_view value = trimmed(line.substr(colon + 1));
+        if (name == "transfer-encoding") chunked = lower(value) == "chunked";
+        if (name == "content-length") {
+            if (!whole_number(value, 10, left_)) return false;
+            told = true;
+        }
+    }
+    if (status < 200) return true;  // an interim answer: the real one follows
+    const bool bare = status == 204 || status == 304;
+    state_ = bare ? State::head : chunked ? State::chunk_line : told ? State::length : State::to_the_end;
+    taker.head(static_cast<int>(status));
+    if (bare || (state_ == State::length && left_ == 0)) finish(taker);
+    return true;
+}
+
+std::size_t HttpReader::take(std::string_view bytes, Taker& taker) {
+    std::size_t used = 0;
+    // The line at the front, without its end; more is needed if there is none.
+    const auto line_of = [&](std::size_t most, std::string_view& line) {
+        const auto end = bytes.find('\n', used);
+        if (end == std::string_view::npos) {
+            if (bytes.size() - used > most) state_ = State::broken;
+            return false;
+        }
+        line = trimmed(bytes.substr(used, end - used));
+        used = end + 1;
+        return true;
+    };
+    while (used < bytes.size() && state_ != State::broken) {
+        std::string_view line;
+        switch (state_) {
+            case State::head: {
+                const auto end = bytes.find("\r\n\r\n", used);
+                if (end == std::string_view::npos) {
+                    if (bytes.size() - used > kHeadMost) state_ = State::broken;
+                    return used;
+                }
+                const std::string_view head = bytes.substr(used, end - used);
+                used = end + 4;
+                if (!read_head(head, taker)) state_ = State::broken;
+                break;
+            }
+            case State::length:
+            case State::chunk: {
+                const auto part =
+                    static_cast<std::size_t>(std::min<unsigned long long>(left_, bytes.size() - used));
+                left_ -= part;
+                const bool last = left_ == 0;
+                const bool chunk = state_ == State::chunk;
+                if (last && chunk) state_ = State::chunk_end;
+                taker.body(bytes.substr(used, part));
+                used += part;
+                if (last && !chunk) finish(taker);
+                break;
+            }
+            case State::chunk_line:
+                if (!line_of(kChunkLineMost, line)) return used;
+                if (!whole_number(trimmed(line.substr(0, line.find(';'))), 16, left_))
+                    state_ = State::broken;
+                else
+                    state_ = left_ == 0 ? State::trailer : State::chunk;
+                break;
+            case State::chunk_end:
+                if (!line_of(2, line)) return used;
+                state_ = line.empty() ? State::chunk_line : State::broken;
+                break;
+            case State::trailer:
+                if (!line_of(kHeadMost, line)) return used;
+                if (line.empty()) finish(taker);
+                break;
+            case State::to_the_end:
+                taker.body(bytes.substr(used));
+                used = bytes.size();
+                break;
+            case State::broken:
+                break;
+        }
+    }
+    return used;
+}
+
+void HttpReader::connection_ended(Taker& taker) {
+    if (state_ == State::to_the_end) finish(taker);
+}
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/http.hpp
@@ -0,0 +1,54 @@
+// Answers in HTTP/1.1, with chunks. Takes bytes; knows no socket.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace tideline::net {
+
+class HttpReader {
+  public:
+    class Taker {
+      public:
+        virtual ~Taker() = default;
+        virtual void head(int status) = 0;
+        virtual void body(std::string_view bytes) = 0;  // a part of it
+        virtual void end() = 0;                         // the answer is whole
+    };
+    // How many bytes were used; what is left is the beginning of something not yet whole.
+    std::size_t take(std::string_view bytes, Taker& taker);
+    void connection_ended(Taker& taker);  // that may be the end of a body without a told length
+    bool broken() const { return state_ == State::broken; }
+    bool between() const { return state_ == State::head; }
+
+  private:
+    enum class State { head, length, chunk_line, chunk, chunk_end, trailer, to_the_end, broken };
+    bool read_head(std::string_view head, Taker& taker);
+    void finish(Taker& taker);
+    State state_ = State::head;
+    unsigned long long left_ = 0;
+};
+
+// Lines out of a stream of bytes, up to a bound.
+class Lines {
+  public:
+    // False once a line is too long. `call` gets each whole line without its end.
+    template <class Call>
+    bool add(std::string_view bytes, std::size_t most, Call call) {
+        for (auto end = bytes.find('\n'); end != std::string_view::npos; end = bytes.find('\n')) {
+            held_.append(bytes.substr(0, end));
+            bytes.remove_prefix(end + 1);
+            std::string line;
+            line.swap(held_);
+            if (!line.empty() && line.back() == '\r') line.pop_back();
+            call(line);
+        }
+        held_.append(bytes);
+        return held_.size() <= most;
+    }
+
+  private:
+    std::string held_;
+};
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/link.cpp
@@ -0,0 +1,173 @@
+#include "net/link.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <charconv>
+
+namespace tideline::net {
+namespace {
+
+sockaddr_in to_sockaddr(const Address& address) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = address.host;
+    to.sin_port = address.port;
+    return to;
+}
+void no_delay(int fd) {
+    const int on = 1;
+    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+std::optional<Address> address_of(const std::string& text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) return std::nullopt;
+    in_addr host{};
+    if (::inet_pton(AF_INET, text.substr(0, colon).c_str(), &host) != 1) return std::nullopt;
+    std::uint16_t port = 0;
+    const char* end = text.data() + text.size();
+    const auto read = std::from_chars(text.data() + colon + 1, end, port);
+    if (read.ec != std::errc{} || read.ptr != end || port == 0) return std::nullopt;
+    return Address{host.s_addr, htons(port)};
+}
+
+int listen_at(const Address& address) {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) return -1;
+    const int on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const sockaddr_in to = to_sockaddr(address);
+    if (::bind(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 || ::listen(fd, kBacklog) != 0) {
+        const int error = errno;
+        ::close(fd);
+        errno = error;
+        return -1;
+    }
+    return fd;
+}
+
+void Link::open(const Address& address) {
+    fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd_ < 0) return broke();
+    no_delay(fd_);
+    const sockaddr_in to = to_sockaddr(address);
+    connecting_ = true;
+    loop_.watch(fd_, this, POLLOUT);
+    if (::connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS &&
+        errno != EINTR)
+        broke();
+}
+
+void Link::adopt(int fd) {
+    fd_ = fd;
+    no_delay(fd);
+    loop_.watch(fd_, this, POLLIN);
+}
+
+void Link::close() {
+    loop_.due.cancel(told_);
+    if (fd_ < 0) return;
+    loop_.forget(fd_);
+    ::close(fd_);
+    fd_ = -1;
+}
+
+// Told once, from the loop.
+void Link::broke() {
+    over_ = true;
+    if (fd_ >= 0) loop_.want(fd_, 0);
+    if (told_ != Due::kNone) return;
+    told_ = loop_.due.soon([this] {
+        told_ = Due::kNone;
+        close();
+        ended();
+    });
+}
+
+void Link::put(std::string_view bytes) {
+    if (over_ || fd_ < 0) return;
+    if (!out_.put(bytes)) return broke();
+    if (!connecting_) write_out();
+}
+
+void Link::finish() {
+    if (over_ || fd_ < 0 || finished_) return;
+    finished_ = true;
+    write_out();
+}
+
+void Link::write_out() {
+    while (!out_.empty()) {
+        const std::string_view piece = out_.piece();
+        const ssize_t sent = ::send(fd_, piece.data(), piece.size(), MSG_NOSIGNAL);
+        if (sent < 0 && errno == EINTR) continue;
+        if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) return broke();
+        if (sent <= 0) break;
+        out_.drop(static_cast<std::size_t>(sent));
+    }
+    if (out_.empty() && finished_) ::shutdown(fd_, SHUT_WR);
+    set_wants();
+}
+
+void Link::set_wants() {
+    if (fd_ < 0 || over_) return;
+    loop_.want(fd_, static_cast<short>((in_.full() ? 0 : POLLIN) | (out_.empty() ? 0 : POLLOUT)));
+}
+
+void Link::look_again() {
+    came_in();
+    set_wants();
+}
+
+bool Link::heard_end() {
+    char byte;
+    const ssize_t got = ::recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return over_ || got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+void Link::read_in() {
+    bool end = false, some = false;
+    while (!in_.full()) {
+        const auto to = in_.space();
+        const ssize_t got = ::recv(fd_, to.data(), to.size(), 0);
+        if (got < 0 && errno == EINTR) continue;
+        if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
+        if (got <= 0) {
+            end = true;
+            break;
+        }
+        in_.filled(static_cast<std::size_t>(got));
+        some = true;
+    }
+    if (some) came_in();
+    if (fd_ < 0) return;
+    if (end)
+        broke();
+    else
+        set_wants();
+}
+
+void Link::ready(short events) {
+    if (over_) return;
+    if (connecting_) {
+        int error = 0;
+        socklen_t size = sizeof error;
+        ::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+        if (error != 0) return broke();
+        if (!(events & POLLOUT)) return;
+        connecting_ = false;
+        came_up();
+        if (fd_ >= 0 && !over_) write_out();
+        return;
+    }
+    if (events & POLLOUT) write_out();
+    if (!over_ && fd_ >= 0 && (events & (POLLIN | POLLHUP | POLLERR))) read_in();
+}
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/link.hpp
@@ -0,0 +1,58 @@
+// One TCP connection: its descriptor, a ring buffer each way. What comes of it is told to its owner from the
+// loop, never from within a call of the owner's.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "net/loop.hpp"
+#include "net/ring.hpp"
+
+namespace tideline::net {
+
+// host:port in IPv4 digits; nothing else is an address here.
+struct Address {
+    std::uint32_t host = 0;  // as on the wire
+    std::uint16_t port = 0;  // as on the wire
+    bool operator==(const Address&) const = default;
+};
+std::optional<Address> address_of(const std::string& text);
+int listen_at(const Address& address);  // -1 with errno set
+
+class Link : public Watcher {
+  public:
+    explicit Link(Loop& loop) : loop_(loop) {}
+    ~Link() override { close(); }
+    Link(const Link&) = delete;
+    Link& operator=(const Link&) = delete;
+
+    void open(const Address& address);  // a failure is told from the loop
+    void adopt(int fd);                 // an accepted connection
+    void put(std::string_view bytes);   // written at once as far as it goes, the rest when there is room
+    void finish();                      // nothing more is written; what was goes out whole
+    void close();
+    bool up() const { return fd_ >= 0 && !connecting_; }
+    bool closed() const { return fd_ < 0; }
+    bool all_written() const { return out_.empty(); }
+    bool heard_end();  // whether the peer has ended it, or spoken, unnoticed so far
+    void ready(short events) override;
+
+  protected:
+    virtual void came_up() {}
+    virtual void came_in() = 0;  // bytes are in in_
+    virtual void ended() = 0;    // the peer ended it, or it broke; closed before the call
+    void look_again();           // at what in_ still holds
+    Loop& loop_;
+    Ring in_, out_;
+
+  private:
+    void write_out();
+    void read_in();
+    void broke();
+    void set_wants();
+    int fd_ = -1;
+    bool connecting_ = false, finished_ = false, over_ = false;
+    Due::Key told_ = Due::kNone;
+};
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/list.cpp
@@ -0,0 +1,100 @@
+#include "net/list.hpp"
+
+#include <fmt/core.h>
+
+namespace tideline::net {
+namespace {
+
+using nlohmann::json;
+
+const std::map<std::string, PodState> kStates = {
+    {"Ready", PodState::ready}, {"Terminating", PodState::draining}, {"Gone", PodState::gone}};
+
+// The position of a name among those told at start; 0 where it is not one of them.
+int position(const Terms& terms, const std::string& what, const json& name) {
+    for (int i = 0; name.is_string(); ++i) {
+        const auto it = terms.find(what + "." + std::to_string(i));
+        if (it == terms.end()) break;
+        if (it->second == Term{name.get<std::string>()}) return i;
+    }
+    return 0;
+}
+
+}  // namespace
+
+List::List(Loop& loop, Owner& owner, const Terms& terms, Address address)
+    : loop_(loop),
+      owner_(owner),
+      terms_(terms),
+      address_(address),
+      fetch_(loop, address),
+      watch_(loop, address) {}
+
+bool List::read(const json& list, bool first_copy) {
+    if (!list.is_object() || !list.contains("members") || !list["members"].is_array()) return false;
+    std::vector<PodLine> lines;
+    std::vector<Address> addresses;
+    for (const json& entry : list["members"]) {
+        try {
+            PodLine line;
+            line.pod = PodId{entry.at("id").get<std::string>()};
+            const auto state = kStates.find(entry.at("phase").get<std::string>());
+            const auto address = address_of(entry.value("host_port", ""));
+            if (state == kStates.end() || (!address && state->second != PodState::gone)) continue;
+            line.state = state->second;
+            line.location = Location{position(terms_, "locations", entry.value("locality", json()))};
+            line.kind = position(terms_, "kinds", entry.value("flavor", json()));
+            line.cell = Cell{entry.value("cell", 0)};
+            line.weight = entry.value("size", 1.0);
+            line.build = Build{entry.value("revision_no", 0)};
+            line.started = entry.value("up_since_ms", 0.0) * 1e-3;
+            lines.push_back(std::move(line));
+            addresses.push_back(address.value_or(Address{}));
+        } catch (const json::exception&) {
+            continue;  // an entry that makes no sense
+        }
+    }
+    const auto revision = list.find("revision");
+    if (revision != list.end() && revision->is_number_integer()) revision_ = revision->get<std::int64_t>();
+    const auto complete = list.find("complete");
+    const bool whole =
+        first_copy || (complete != list.end() && complete->is_boolean() && complete->get<bool>());
+    owner_.listed(first_copy ? ListKind::warm_copy
+                  : whole    ? ListKind::whole
+                             : ListKind::changes,
+                  lines, addresses);
+    return true;
+}
+
+void List::take(const std::string& text) {
+    if (text.empty()) return;  // a sign of life
+    const json list = json::parse(text, nullptr, false);
+    if (!list.is_discarded() && read(list, false)) return;
+    watch_.drop();
+    owner_.list_lost("watch: no list in a line");
+}
+
+// Danger: what was lost before the watch stood counts as told; so the watch names the last state known.
+void List::follow() {
+    watch_.begin(fmt::format("/v1/servers?follow=1&since={}", revision_), kListSilence, kListSilence,
+                 {[this](const std::string& line) { take(line); },
+                  [this] {
+                      watch_.drop();
+                      owner_.list_lost("watch: ended");
+                  },
+                  [this](const std::string& why) { owner_.list_lost("watch: " + why); }});
+}
+
+void List::fetch() {
+    fetched_.clear();
+    fetch_.begin("/v1/servers", kListSilence, kListSilence,
+                 {[this](const std::string& line) { fetched_ += line; },
+                  [this] {
+                      fetch_.drop();
+                      const json list = json::parse(fetched_, nullptr, false);
+                      if (list.is_discarded() || !read(list, false)) owner_.list_lost("call: no list");
+                  },
+                  [this](const std::string& why) { owner_.list_lost("call: " + why); }});
+}
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,66 @@
+#include "net/loop.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include "net/must.hpp"
+
+namespace tideline::net {
+
+Seconds clock_now() {
+    using std::chrono::duration;
+    using std::chrono::steady_clock;
+    using std::chrono::system_clock;
+    static const Seconds offset = duration<double>(system_clock::now().time_since_epoch()).count() -
+                                  duration<double>(steady_clock::now().time_since_epoch()).count();
+    return offset + duration<double>(steady_clock::now().time_since_epoch()).count();
+}
+
+void Loop::watch(int fd, Watcher* watcher, short events) {
+    if (static_cast<std::size_t>(fd) >= seats_.size()) seats_.resize(static_cast<std::size_t>(fd) + 1);
+    Seat& seat = seats_[static_cast<std::size_t>(fd)];
+    must(!seat.watcher, "a descriptor is watched once");
+    seat = {watcher, polled_.size(), ++uses_};
+    polled_.push_back({fd, events, 0});
+    peak_ = std::max(peak_, polled_.size());
+}
+
+void Loop::want(int fd, short events) {
+    const Seat& seat = seats_[static_cast<std::size_t>(fd)];
+    if (must(seat.watcher, "only what is watched can be wanted")) polled_[seat.at].events = events;
+}
+
+void Loop::forget(int fd) {
+    Seat& seat = seats_[static_cast<std::size_t>(fd)];
+    if (!must(seat.watcher, "only what is watched is forgotten")) return;
+    polled_[seat.at] = polled_.back();
+    seats_[static_cast<std::size_t>(polled_[seat.at].fd)].at = seat.at;
+    polled_.pop_back();
+    seat.watcher = nullptr;
+}
+
+void Loop::pass() {
+    const Seconds wait = due.next() - clock_now();
+    const int ms = wait <= 0 ? 0 : static_cast<int>(std::ceil(std::min(wait, 1.0) * 1e3));
+    const int count = ::poll(polled_.data(), polled_.size(), ms);  // EINTR: nothing was ready, next pass
+    if (count > 0) {
+        struct Ready {
+            int fd;
+            short events;
+            std::uint64_t since;
+        };
+        std::vector<Ready> ready;
+        for (const pollfd& each : polled_)
+            if (each.revents != 0)
+                ready.push_back({each.fd, each.revents, seats_[static_cast<std::size_t>(each.fd)].since});
+        for (const Ready& each : ready) {
+            const Seat& seat = seats_[static_cast<std::size_t>(each.fd)];
+            if (seat.watcher && seat.since == each.since) seat.watcher->ready(each.events);
+        }
+    }
+    due.run(clock_now());
+    buried_.clear();
+}
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/pg.hpp
@@ -0,0 +1,50 @@
+// Version 3 of PostgreSQL's protocol, as far as simple queries need it. Takes and gives bytes; knows no
+// socket.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "words.hpp"
+
+namespace tideline::net::pg {
+
+enum class Read { whole, more, bad };
+
+// What a client may send before a startup message, and the message itself.
+constexpr std::uint32_t kCancelRequest = 80877102, kSslRequest = 80877103, kGssRequest = 80877104;
+constexpr std::uint32_t kMajor = 3;
+
+// The first message of `bytes`: its type, body, and how many bytes it takes up.
+Read next(std::string_view bytes, std::size_t most, char& type, std::string_view& body, std::size_t& whole);
+// The same before the startup is through, where messages have no type but a code.
+Read next_startup(std::string_view bytes, std::uint32_t& code, std::string_view& body, std::size_t& whole);
+
+std::string startup(std::string_view user, std::string_view database);
+std::string message(char type, std::string_view body);
+std::string query(std::string_view text);
+std::string welcome();  // all that goes to a client before its first ReadyForQuery, and that
+std::string ready();
+std::string negotiate(std::uint32_t minor);
+std::string empty_answer();
+std::string error(std::string_view severity, std::string_view code, std::string_view text,
+                  std::string_view detail = {});
+
+// The value of one field of an ErrorResponse; empty if it has none.
+std::string_view error_field(std::string_view body, char field);
+// Name and value of a ParameterStatus; nothing if it is malformed.
+std::optional<std::pair<std::string_view, std::string_view>> parameter(std::string_view body);
+bool one_column_described(std::string_view body);
+// Whether a DataRow holds one value of at most `most` bytes and nothing else.
+bool one_value(std::string_view body, std::size_t most);
+// inflight=7,util=0.61
+Load load(std::string_view text);
+
+// The statement's parts, told one by one: the record under the name "", then each name and value of the
+// comment. False if it is not one statement in one of the two forms; then what was told means nothing.
+bool statement(std::string_view text,
+               const std::function<void(std::string_view name, std::string_view value)>& tell);
+
+}  // namespace tideline::net::pg
--- /dev/null
+++ b/src/net/platform.cpp
@@ -0,0 +1,225 @@
+#include "net/platform.hpp"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <deque>
+
+namespace tideline::net {
+namespace {
+
+using nlohmann::json;
+
+const std::map<std::string, Phase> kPhases = {{"canary", Phase::trial},
+                                              {"reverting", Phase::reverting},
+                                              {"stable", Phase::released},
+                                              {"reverted", Phase::withdrawn}};
+const char* word_of(Vote vote) {
+    switch (vote) {
+        case Vote::on:
+            return "approve";
+        case Vote::hold:
+            return "wait";
+        case Vote::back:
+            return "reject";
+        default:
+            return "clear";
+    }
+}
+const std::map<int, VoteReply> kReplies = {{200, VoteReply::counted},
+                                           {429, VoteReply::full},
+                                           {409, VoteReply::ignored},
+                                           {500, VoteReply::failed},
+                                           {400, VoteReply::failed}};
+
+}  // namespace
+
+// The connection for votes. Each vote has one place in the order of answers, and keeps it after its time-out.
+class Platform::Ballots : public Link, HttpReader::Taker {
+  public:
+    explicit Ballots(Platform& all) : Link(all.loop_), all_(all) { open(all.address_); }
+    ~Ballots() override {
+        for (Asked& asked : asked_) loop_.due.cancel(asked.limit);
+        loop_.due.cancel(idle_);
+    }
+    // Nothing that was asked before and got no answer stands in the way.
+    bool usable() const {
+        return !closed() &&
+               std::count_if(asked_.begin(), asked_.end(), [](auto& a) { return !a.awaited; }) < 2;
+    }
+    void ask(const std::string& body) {
+        loop_.due.cancel(idle_);
+        const std::uint64_t no = ++numbered_;
+        asked_.push_back({no, true, loop_.due.at(clock_now() + all_.vote_wait_, [this, no] { late(no); })});
+        put(
+            fmt::format("POST /api/ballots HTTP/1.1\r\nHost: peer\r\nContent-Type: application/json\r\n"
+                        "Content-Length: {}\r\n\r\n{}",
+                        body.size(), body));
+    }
+
+  protected:
+    void came_in() override {
+        const std::size_t used = reader_.take(in_.all(), *this);
+        in_.drop(used);
+        if (reader_.broken()) lost();
+    }
+    void ended() override {
+        reader_.connection_ended(*this);
+        lost();
+    }
+    void head(int status) override { status_ = status, body_.clear(); }
+    void body(std::string_view bytes) override {
+        if (body_.size() < kMessageMost) body_.append(bytes);
+    }
+    void end() override {
+        if (asked_.empty()) return;  // an answer to nothing
+        const Asked asked = asked_.front();
+        asked_.pop_front();
+        if (asked_.empty()) idle_ = loop_.due.at(clock_now() + kCallIdle, [this] { all_.drop_ballots(); });
+        if (!asked.awaited) return;  // it came too late and was told as such
+        Due::Key limit = asked.limit;
+        loop_.due.cancel(limit);
+        auto reply = kReplies.contains(status_) ? kReplies.at(status_) : VoteReply::timed_out;
+        if (status_ == 400) all_.owner_.platform_said("vote not understood: " + body_);
+        if (reply == VoteReply::counted && !all_.read_state(json::parse(body_, nullptr, false)))
+            reply = VoteReply::timed_out;  // what can't be read tells nothing
+        all_.owner_.vote_answered(reply);
+    }
+
+  private:
+    struct Asked {
+        std::uint64_t no;
+        bool awaited;
+        Due::Key limit;
+    };
+    // Whether it counts is not known, unless it was never written whole.
+    void late(std::uint64_t no) {
+        for (Asked& asked : asked_) {
+            if (asked.no != no) continue;
+            asked.awaited = false, asked.limit = Due::kNone;
+        }
+        const bool never = !up() || !all_written();
+        if (!up()) all_.drop_ballots();
+        all_.owner_.vote_answered(never ? VoteReply::failed : VoteReply::timed_out);
+    }
+    void lost() {
+        const bool whole = all_written();
+        const auto open = static_cast<int>(
+            std::count_if(asked_.begin(), asked_.end(), [](const Asked& asked) { return asked.awaited; }));
+        for (Asked& asked : asked_) loop_.due.cancel(asked.limit);
+        asked_.clear();
+        all_.drop_ballots();
+        // Only the last one can be written in part.
+        for (int i = 1; i <= open; ++i)
+            all_.owner_.vote_answered(!whole && i == open ? VoteReply::failed : VoteReply::timed_out);
+    }
+    Platform& all_;
+    HttpReader reader_;
+    std::deque<Asked> asked_;
+    std::uint64_t numbered_ = 0;
+    int status_ = 0;
+    std::string body_;
+    Due::Key idle_ = Due::kNone;
+};
+
+Platform::Platform(Loop& loop, Owner& owner, Address address, Seconds vote_wait, std::uint64_t seed)
+    : loop_(loop),
+      owner_(owner),
+      address_(address),
+      vote_wait_(vote_wait),
+      chance_(static_cast<std::uint32_t>(seed >> 8 ^ seed >> 40)),
+      feeds_{Call(loop, address), Call(loop, address)} {}
+Platform::~Platform() {
+    loop_.due.cancel(tend_);
+    if (ballots_) ballots_->close();
+}
+
+bool Platform::read_state(const json& state) {
+    try {
+        const auto phase = kPhases.find(state.at("status").get<std::string>());
+        if (phase == kPhases.end()) return false;
+        owner_.stage_told(Build{state.at("version").get<int>()}, Stage{state.at("step").get<int>()},
+                          phase->second, state.value("maxWeight", 0.0),
+                          state.value("observedAgoMs", 0.0) * 1e-3);
+        return true;
+    } catch (const json::exception&) {
+        return false;
+    }
+}
+
+void Platform::begin() { tend_feed(); }
+
+void Platform::tend_after(Seconds span) {
+    loop_.due.cancel(tend_);
+    tend_ = loop_.due.at(clock_now() + span, [this] {
+        tend_ = Due::kNone;
+        tend_feed();
+    });
+}
+
+// Danger: what is told while no feed stands is lost. So one that fell silent is kept until another speaks:
+// the platform itself may be silent, and then another would do no better.
+void Platform::tend_feed() {
+    const Seconds now = clock_now();
+    const bool stands = feeds_[standing_].open();
+    if (stands && now - heard_ < kFeedSilence) return tend_after(heard_ + kFeedSilence - now);
+    const int which = stands && heard_ > 0 ? 1 - standing_ : standing_;
+    if (!feeds_[which].open()) {
+        if (heard_ > 0) owner_.platform_said(stands ? "feed silent, another is tried" : "feed opened again");
+        const auto lost = [this](const std::string& why) {
+            owner_.platform_said("feed: " + why);
+            tend_after(pause_);
+        };
+        feeds_[which].begin("/api/feed", kFeedSilence, 1e9,
+                            {[this, which](const std::string& line) { feed_line(which, line); },
+                             [this, which, lost] {
+                                 feeds_[which].drop();
+                                 lost("ended");
+                             },
+                             lost});
+    }
+    const double unit = static_cast<double>(chance_()) / static_cast<double>(chance_.max());
+    tend_after(pause_ * (0.5 + unit));
+    pause_ = std::min(kReopenMost, 2 * pause_);
+}
+
+void Platform::feed_line(int which, const std::string& text) {
+    heard_ = clock_now(), pause_ = kReopenFirst;
+    feeds_[1 - which].drop();
+    standing_ = which;
+    tend_after(kFeedSilence);
+    if (text.empty()) return;
+    const json news = json::parse(text, nullptr, false);
+    if (news.is_discarded()) {
+        feeds_[which].drop();
+        owner_.platform_said("feed: a line that can't be read");
+        return tend_after(pause_);
+    }
+    const auto object = news.find("object");
+    if (!news.is_object() || object == news.end() || !object->is_object())
+        return;  // a sign of life, or not ours
+    try {
+        const std::string type = news.value("type", "");
+        if (type == "ROLLOUT") read_state(*object);
+        if (type == "DISPUTE")
+            owner_.answer_flagged(object->at("kind").get<std::string>(),
+                                  PodId{object->at("pod").get<std::string>()},
+                                  object->value("observedAgoMs", 0.0) * 1e-3);
+    } catch (const json::exception&) {
+        return;  // news that makes no sense
+    }
+}
+
+void Platform::vote(Build build, Stage stage, Vote vote) {
+    if (ballots_ && !ballots_->usable()) drop_ballots();
+    if (!ballots_) ballots_ = std::make_unique<Ballots>(*this);
+    ballots_->ask(json{{"version", build.value}, {"step", stage.value}, {"vote", word_of(vote)}}.dump());
+}
+
+void Platform::drop_ballots() {
+    if (!ballots_) return;
+    ballots_->close();
+    loop_.bury(std::move(ballots_));
+}
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/platform.hpp
@@ -0,0 +1,50 @@
+// The platform: a feed of news that stays open, and a connection for votes, whose answers come in their
+// order.
+#pragma once
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+
+#include "net/call.hpp"
+
+namespace tideline::net {
+
+class Platform {
+  public:
+    class Owner {
+      public:
+        virtual ~Owner() = default;
+        virtual void stage_told(Build build, Stage stage, Phase phase, double cap, Seconds age) = 0;
+        virtual void answer_flagged(const std::string& operation, const PodId& pod, Seconds sent_ago) = 0;
+        virtual void vote_answered(VoteReply reply) = 0;
+        virtual void platform_said(const std::string& what) = 0;  // for the log
+    };
+    Platform(Loop& loop, Owner& owner, Address address, Seconds vote_wait, std::uint64_t seed);
+    ~Platform();
+
+    bool read_state(const nlohmann::json& state);  // false where it is none
+    void begin();
+    void vote(Build build, Stage stage, Vote vote);  // answered from the loop
+
+  private:
+    class Ballots;
+    void tend_feed();
+    void tend_after(Seconds span);
+    void feed_line(int which, const std::string& text);
+    void drop_ballots();
+
+    Loop& loop_;
+    Owner& owner_;
+    const Address address_;
+    const Seconds vote_wait_;
+    std::ranlux24_base chance_;
+    Call feeds_[2];  // the one that stands, and one that is tried when that falls silent
+    int standing_ = 0;
+    Seconds heard_ = 0, pause_ = kReopenFirst;
+    Due::Key tend_ = Due::kNone;
+    std::unique_ptr<Ballots> ballots_;
+};
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/pods.cpp
@@ -0,0 +1,316 @@
+#include "net/pods.hpp"
+
+#include <algorithm>
+
+#include "net/must.hpp"
+#include "net/pg.hpp"
+
+namespace tideline::net {
+
+class Pods::Connection : public Link {
+  public:
+    Connection(Pods& all, PodId at, int at_times)
+        : Link(all.loop_), pod(std::move(at)), times(at_times), all_(all) {}
+    ~Connection() override { loop_.due.cancel(until); }
+    const PodId pod;
+    const int times;  // of its place when it was opened
+    std::uint64_t no = 0;
+    std::uint64_t errand = 0;  // 0: none
+    Due::Key until = Due::kNone;
+    Seconds idle_since = 0;
+    bool greeted = false;
+
+    void ask(std::uint64_t whose, std::string_view text) {
+        must(greeted && errand == 0 && !answered_, "a connection serves one dispatch at a time");
+        errand = whose;
+        described_ = valued_ = false;
+        load_.clear();
+        answer_.clear();
+        put(pg::query(text));
+    }
+    bool clean() {
+        return greeted && errand == 0 && !answered_ && in_.empty() && all_written() && !heard_end();
+    }
+
+  protected:
+    void came_up() override { put(pg::startup("svc", "main")); }
+    void came_in() override {
+        while (!closed() && !in_.empty()) {
+            char type = 0;
+            std::string_view body;
+            std::size_t whole = 0;
+            const std::string_view bytes = in_.all();
+            switch (pg::next(bytes, kMessageMost, type, body, whole)) {
+                case pg::Read::more:
+                    return;
+                case pg::Read::bad:
+                    return all_.link_failed(no, Outcome::broken);
+                case pg::Read::whole:
+                    break;
+            }
+            if (!take(type, body, bytes.substr(0, whole))) return all_.link_failed(no, Outcome::broken);
+            if (closed()) return;
+            in_.drop(whole);
+        }
+    }
+    void ended() override {
+        // Only the last byte tells whether it may have run.
+        const bool whole = errand != 0 && all_written();
+        all_.link_failed(no, whole ? Outcome::broken : Outcome::unreachable);
+    }
+
+  private:
+    // False if it is malformed or out of order.
+    bool take(char type, std::string_view body, std::string_view bytes) {
+        const bool asked = errand != 0;
+        switch (type) {
+            case 'N':
+            case 'K':
+                return true;
+            case 'R':
+                return !greeted && body == std::string_view("\0\0\0\0", 4);
+            case 'S':
+                if (const auto param = pg::parameter(body)) {
+                    if (param->first == "vitals") load_ = pg::load(param->second);
+                    return true;
+                }
+                return false;
+            case 'Z':
+                if (asked) return false;
+                greeted = true;
+                answered_ = false;
+                all_.link_free(no);
+                return true;
+            case 'T':
+                if (!asked || described_ || !pg::one_column_described(body)) return false;
+                described_ = true;
+                answer_.append(bytes);
+                return true;
+            case 'D':
+                if (!asked || !described_ || valued_ || !pg::one_value(body, kValueMost)) return false;
+                valued_ = true;
+                answer_.append(bytes);
+                return true;
+            case 'C':
+                if (!asked || !valued_) return false;
+                answer_.append(bytes);
+                finish_errand(Outcome::succeeded);
+                return true;
+            case 'E': {
+                const auto code = pg::error_field(body, 'C');
+                const bool turned_away = code == "53300";
+                if (!greeted) {
+                    all_.link_failed(no, turned_away ? Outcome::full : Outcome::unreachable);
+                    return true;
+                }
+                if (asked) finish_errand(turned_away ? Outcome::full : Outcome::failed);
+                return true;
+            }
+            default:
+                return false;
+        }
+    }
+    void finish_errand(Outcome outcome) {
+        const std::uint64_t whose = errand;
+        errand = 0;
+        answered_ = true;  // until ReadyForQuery
+        std::string answer;
+        answer.swap(answer_);
+        const Load load = load_;
+        all_.end(whose, outcome, load, answer);
+    }
+
+    Pods& all_;
+    bool described_ = false, valued_ = false, answered_ = false;
+    Load load_;
+    std::string answer_;
+};
+
+Pods::Pods(Loop& loop, Owner& owner, Seconds connect_time, Seconds keep_idle)
+    : loop_(loop), owner_(owner), connect_time_(connect_time), keep_idle_(kIdlePart * keep_idle) {}
+Pods::~Pods() = default;
+
+void Pods::listed(ListKind kind, const std::vector<PodLine>& lines, const std::vector<Address>& addresses) {
+    if (kind != ListKind::changes)
+        for (auto& [id, place] : places_) place.listed = false;
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        const PodLine& line = lines[i];
+        Place& place = places_[line.pod];
+        if (place.address != addresses[i] || place.build != line.build || place.started != line.started)
+            ++place.times;
+        place.address = addresses[i], place.build = line.build, place.started = line.started;
+        place.listed = line.state == PodState::ready;
+    }
+    links_.each([&](std::uint64_t no, auto& link) {
+        const Place& place = places_[link->pod];
+        if (link->greeted && link->errand == 0 && (!place.listed || place.times != link->times))
+            drop_link(no);
+    });
+    std::erase_if(places_, [&](auto& entry) {
+        bool used = entry.second.listed || !entry.second.waiting.empty() || entry.second.opening > 0;
+        links_.each([&](std::uint64_t, auto& link) { used = used || link->pod == entry.first; });
+        return !used;
+    });
+}
+
+void Pods::dispatch(InvId inv, DispatchNo no, const PodId& pod, Seconds stop_at) {
+    Errand errand;
+    errand.inv = inv, errand.no = no, errand.pod = pod;
+    errand.sent = clock_now(), errand.stop_at = stop_at;
+    const std::uint64_t number = errands_.add(errand);
+    // Told from the loop: time is up already, or the pod is not known.
+    const bool in_time = stop_at > errand.sent;
+    errands_.find(number)->stop = in_time && places_.contains(pod)
+                                      ? loop_.due.at(stop_at, [this, number] { stop(number); })
+                                      : loop_.due.soon([this, number] { end(number, Outcome::moot); });
+    if (in_time && places_.contains(pod)) seek_link(number);
+}
+
+void Pods::probe(const PodId& pod) {
+    Errand errand;
+    errand.pod = pod, errand.sent = clock_now(), errand.stop_at = errand.sent + connect_time_;
+    const std::uint64_t number = errands_.add(errand);
+    const bool known = places_.contains(pod);
+    errands_.find(number)->stop = known ? loop_.due.at(errand.stop_at, [this, number] { stop(number); })
+                                        : loop_.due.soon([this, number] { end(number, Outcome::moot); });
+    if (known) seek_link(number);
+}
+
+void Pods::seek_link(std::uint64_t number) {
+    const PodId pod = errands_.find(number)->pod;
+    Place& place = places_[pod];
+    while (!place.idle.empty()) {
+        const std::uint64_t link = place.idle.back();
+        if ((*links_.find(link))->clean()) {
+            place.idle.pop_back();
+            return run(number, link);
+        }
+        drop_link(link);
+    }
+    place.waiting.push_back(number);
+    if (place.opening < static_cast<int>(place.waiting.size())) open_link(pod, place);
+}
+
+void Pods::open_link(const PodId& pod, Place& place) {
+    const std::uint64_t no = links_.add(std::make_unique<Connection>(*this, pod, place.times));
+    Connection& link = **links_.find(no);
+    link.no = no;
+    ++place.opening;
+    if (!owner_.room_for_one()) {
+        link.until = loop_.due.soon([this, no] { link_failed(no, Outcome::unreachable); });
+        return;
+    }
+    link.until =
+        loop_.due.at(clock_now() + connect_time_, [this, no] { link_failed(no, Outcome::unreachable); });
+    link.open(place.address);
+}
+
+void Pods::run(std::uint64_t number, std::uint64_t no) {
+    Errand& errand = *errands_.find(number);
+    Connection& link = **links_.find(no);
+    errand.link = no;
+    loop_.due.cancel(link.until);
+    link.ask(number, errand.inv ? owner_.statement_for(*errand.inv, errand.stop_at) : "SELECT 1");
+}
+
+void Pods::end(std::uint64_t number, Outcome outcome, const Load& load, std::string_view answer) {
+    Errand* found = errands_.find(number);
+    if (!must(found, "what ends was begun")) return;
+    Errand errand = *found;
+    loop_.due.cancel(errand.stop);
+    errands_.remove(number);
+    const Seconds took = clock_now() - errand.sent;
+    if (errand.inv)
+        owner_.dispatch_ended(*errand.inv, errand.no, errand.pod, outcome, took, load, answer);
+    else
+        owner_.probe_ended(errand.pod, outcome, took, load);
+}
+
+// The time to wait is over. What was never written never ran.
+void Pods::stop(std::uint64_t number) {
+    Errand* errand = errands_.find(number);
+    if (!errand) return;
+    errand->stop = Due::kNone;
+    const std::uint64_t no = errand->link;
+    bool written = no != 0;
+    if (written) {
+        written = (*links_.find(no))->all_written();
+        (*links_.find(no))->errand = 0;
+        drop_link(no);
+    } else if (const auto place = places_.find(errand->pod); place != places_.end()) {
+        std::erase(place->second.waiting, number);
+    }
+    end(number, written ? Outcome::timed_out : errand->inv ? Outcome::moot : Outcome::unreachable);
+}
+
+void Pods::drop_link(std::uint64_t no) {
+    auto* link = links_.find(no);
+    if (!link) return;
+    Place& place = places_[(*link)->pod];
+    std::erase(place.idle, no);
+    if (!(*link)->greeted) --place.opening;
+    loop_.due.cancel((*link)->until);
+    (*link)->close();
+    loop_.bury(std::move(*link));
+    links_.remove(no);
+}
+
+// A connection has come up, or its dispatch is through.
+void Pods::link_free(std::uint64_t no) {
+    Connection& link = **links_.find(no);
+    Place& place = places_[link.pod];
+    if (link.until != Due::kNone) {  // it has just come up
+        loop_.due.cancel(link.until);
+        --place.opening;
+    }
+    if (link.times != place.times || !place.listed) {
+        drop_link(no);
+        // Those that wait may have counted on it.
+        if (place.opening < static_cast<int>(place.waiting.size())) open_link(PodId(link.pod), place);
+        return;
+    }
+    while (!place.waiting.empty()) {
+        const std::uint64_t number = place.waiting.front();
+        place.waiting.pop_front();
+        const Errand& errand = *errands_.find(number);
+        // Danger: while it waited its pod may have begun to drain, or the cap may have fallen.
+        if (!errand.inv || owner_.still_good(*errand.inv, errand.no)) return run(number, no);
+        loop_.due.soon([this, number] {
+            if (errands_.find(number)) end(number, Outcome::moot);
+        });
+    }
+    link.idle_since = clock_now();
+    place.idle.push_back(no);
+    link.until = loop_.due.at(link.idle_since + keep_idle_, [this, no] { drop_link(no); });
+}
+
+void Pods::link_failed(std::uint64_t no, Outcome outcome) {
+    auto* found = links_.find(no);
+    if (!found) return;
+    const std::uint64_t number = (*found)->errand;
+    const bool opening = !(*found)->greeted;
+    const PodId pod = (*found)->pod;
+    (*found)->errand = 0;
+    drop_link(no);
+    if (number != 0) return end(number, outcome);
+    if (!opening) return;
+    // One of those that wait loses the connection that it counted on.
+    Place& place = places_[pod];
+    if (static_cast<int>(place.waiting.size()) <= place.opening) return;
+    const std::uint64_t first = place.waiting.front();
+    place.waiting.pop_front();
+    end(first, outcome == Outcome::broken ? Outcome::unreachable : outcome);
+}
+
+bool Pods::shed_one() {
+    std::uint64_t oldest = 0;
+    Seconds since = 0;
+    for (const auto& [id, place] : places_)
+        for (const std::uint64_t no : place.idle)
+            if (const Seconds each = (*links_.find(no))->idle_since; oldest == 0 || each < since)
+                oldest = no, since = each;
+    drop_link(oldest);
+    return oldest != 0;
+}
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/pods.hpp
@@ -0,0 +1,77 @@
+// Pods: pooled connections, each used by one dispatch at a time, and how each dispatch ended.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/link.hpp"
+#include "net/slots.hpp"
+
+namespace tideline::net {
+
+class Pods {
+  public:
+    class Owner {
+      public:
+        virtual ~Owner() = default;
+        virtual bool room_for_one() = 0;
+        // The statement with the time that is left; nothing where it must no longer go.
+        virtual std::string statement_for(InvId inv, Seconds stop_at) = 0;
+        virtual bool still_good(InvId inv, DispatchNo no) = 0;
+        virtual void dispatch_ended(InvId inv, DispatchNo no, const PodId& pod, Outcome outcome, Seconds took,
+                                    const Load& load, std::string_view answer) = 0;
+        virtual void probe_ended(const PodId& pod, Outcome outcome, Seconds took, const Load& load) = 0;
+    };
+
+    Pods(Loop& loop, Owner& owner, Seconds connect_time, Seconds keep_idle);
+    ~Pods();
+
+    void listed(ListKind kind, const std::vector<PodLine>& lines, const std::vector<Address>& addresses);
+    // Both act at once and tell nothing before the loop's next turn.
+    void dispatch(InvId inv, DispatchNo no, const PodId& pod, Seconds stop_at);
+    void probe(const PodId& pod);
+    bool shed_one();  // ends the connection that has been idle for longest
+    std::size_t connections() const { return links_.size(); }
+
+  private:
+    class Connection;
+    struct Errand {  // one dispatch or probe
+        std::optional<InvId> inv;
+        DispatchNo no;
+        PodId pod;
+        Seconds sent = 0, stop_at = 0;
+        std::uint64_t link = 0;  // 0: it waits for one
+        Due::Key stop = Due::kNone;
+    };
+    struct Place {
+        Address address;
+        Build build;
+        Seconds started = 0;
+        bool listed = false;
+        int times = 0;  // how often it came to be something else: no older connection serves it
+        std::deque<std::uint64_t> waiting;  // errands
+        std::deque<std::uint64_t> idle;     // links, the one used last at the back
+        int opening = 0;
+    };
+    void run(std::uint64_t errand, std::uint64_t link);
+    void seek_link(std::uint64_t errand);
+    void open_link(const PodId& pod, Place& place);
+    void end(std::uint64_t errand, Outcome outcome, const Load& load = {}, std::string_view answer = {});
+    void stop(std::uint64_t errand);
+    void drop_link(std::uint64_t link);
+    void link_free(std::uint64_t link);
+    void link_failed(std::uint64_t link, Outcome outcome);
+
+    Loop& loop_;
+    Owner& owner_;
+    const Seconds connect_time_, keep_idle_;
+    std::map<PodId, Place> places_;
+    Slots<Errand> errands_;
+    Slots<std::unique_ptr<Connection>> links_;
+};
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/sidecar.cpp
@@ -0,0 +1,218 @@
+#include "net/sidecar.hpp"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "net/must.hpp"
+#include "net/pg.hpp"
+
+namespace tideline::net {
+namespace {
+
+// FNV-1a: the record's name as a number, the same at every start.
+ObjectKey key_of(std::string_view record) {
+    std::uint64_t value = 14695981039346656037ULL;
+    for (const char c : record) value = (value ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    return {value};
+}
+template <class Kind>
+std::map<std::string, Kind, std::less<>> names_of(const Terms& terms, const std::string& what) {
+    std::map<std::string, Kind, std::less<>> names;
+    for (Kind kind{0};; ++kind.value) {
+        const auto it = terms.find(what + "." + std::to_string(kind.value) + ".name");
+        if (it == terms.end() || !std::holds_alternative<std::string>(it->second)) return names;
+        names[std::get<std::string>(it->second)] = kind;
+    }
+}
+std::size_t descriptors_allowed(std::size_t told) {
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return told;
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+    return told == 0 ? limit.rlim_max : std::min<std::size_t>(told, limit.rlim_max);
+}
+
+}  // namespace
+
+Sidecar::Sidecar(Loop& loop, Log& log, const Slip& slip)
+    : loop_(loop),
+      log_(log),
+      terms_(slip.terms),
+      sockets_(descriptors_allowed(slip.sockets)),
+      operations_(names_of<Operation>(terms_, "operations")),
+      customers_(names_of<Customer>(terms_, "customers")),
+      clients_(loop, *this),
+      pods_(loop, *this, slip.need("allowed.connect_time"), slip.need("allowed.keep_idle")),
+      list_(loop, *this, terms_, slip.list),
+      platform_(loop, *this, slip.platform, slip.need("release.vote_wait"), slip.seed) {
+    if (operations_.empty()) throw std::runtime_error("missing term: operations.0.name");
+    choice_ = std::make_unique<Choice>(*this, terms_, slip.seed, clock_now());
+    list_.read(slip.known, true);
+    platform_.read_state(slip.news);
+    platform_.begin();
+    if (!clients_.listen(slip.listen))
+        throw std::runtime_error("can't listen: " + std::string(std::strerror(errno)));
+    log_.line("{} listens; {} descriptors", slip.name, sockets_);
+    report_later();
+}
+Sidecar::~Sidecar() { loop_.due.cancel(report_); }
+
+// --- What the module decides
+// --------------------------------------------------------------------------------
+void Sidecar::dispatch(InvId inv, const PodId& pod, Seconds stop_at) {
+    Held* held = held_.find(inv.value);
+    if (!must(held && !held->concluded, "no dispatch after the answer")) return;
+    must(held->out == 0 || terms_.contains("allowed.overlap"), "dispatches out together only where allowed");
+    const DispatchNo no{held->dispatches++};
+    ++held->out;
+    pods_.dispatch(inv, no, pod, std::min(stop_at, held->ends));
+}
+void Sidecar::conclude(InvId inv, std::string_view answer) {
+    Held* held = held_.find(inv.value);
+    if (!must(held && !held->concluded, "one answer an invocation")) return;
+    held->concluded = true;
+    clients_.answer(held->client, answer);
+    settle(inv);
+}
+void Sidecar::throttle(InvId inv, Seconds come_back) {
+    ++throttled_;
+    const auto ms = std::llround(come_back * 1e3);
+    conclude(inv, pg::error("ERROR", "53300", "throttled", ms > 0 ? std::to_string(ms) : ""));
+}
+void Sidecar::terminate(InvId inv) {
+    ++terminated_;
+    conclude(inv, pg::error("ERROR", "58000", "terminated"));
+}
+void Sidecar::alarm(Seconds after, AlarmId alarm) {
+    loop_.due.at(clock_now() + after, [this, alarm] { choice_->alarm_rang(clock_now(), alarm); });
+}
+
+// --- Clients
+// ------------------------------------------------------------------------------------------------
+bool Sidecar::room_for_one() {
+    while (loop_.watched() + kSocketsSpared >= sockets_)
+        if (!pods_.shed_one() && !clients_.shed_one()) return false;
+    return true;
+}
+std::optional<InvId> Sidecar::admit(ClientNo client, std::string_view statement, std::size_t d_at,
+                                    std::size_t d_size, std::string_view operation, std::string_view customer,
+                                    std::string_view record, Seconds budget) {
+    const auto op = operations_.find(operation);
+    if (op == operations_.end()) return std::nullopt;
+    const auto from = customers_.find(customer);
+    Held held;
+    held.client = client, held.statement = statement, held.d_at = d_at, held.d_size = d_size;
+    held.op = op->second, held.customer = from == customers_.end() ? Customer{-1} : from->second;
+    held.key = key_of(record), held.budget = std::max(0.0, budget - kWriteRoom);
+    held.ends = clock_now() + held.budget;
+    const InvId inv{held_.add(std::move(held))};
+    held_peak_ = std::max(held_peak_, held_.size());
+    ++taken_;
+    return inv;
+}
+void Sidecar::taken(InvId inv) {
+    const Held& held = *held_.find(inv.value);
+    const Seconds now = clock_now();
+    choice_->invocation_taken(now, inv, held.op, held.customer, held.key, held.ends - now, std::nullopt);
+}
+void Sidecar::client_went(InvId inv) {
+    Held* held = held_.find(inv.value);
+    if (!held || held->concluded) return;
+    ++went_;
+    held->concluded = true;
+    choice_->invocation_dropped(clock_now(), inv);
+    settle(inv);
+}
+void Sidecar::settle(InvId inv) {
+    const Held* held = held_.find(inv.value);
+    if (held && held->concluded && held->out == 0) held_.remove(inv.value);
+}
+
+// --- Pods
+// ---------------------------------------------------------------------------------------------------
+std::string Sidecar::statement_for(InvId inv, Seconds stop_at) {
+    const Held& held = *held_.find(inv.value);
+    std::string text = held.statement;
+    const auto ms = std::max<std::int64_t>(1, static_cast<std::int64_t>((stop_at - clock_now()) * 1e3));
+    return text.replace(held.d_at, held.d_size, std::to_string(ms));
+}
+bool Sidecar::still_good(InvId inv, DispatchNo no) {
+    const bool good = choice_->still_good(clock_now(), inv, no);
+    recalled_ += !good;
+    return good;
+}
+void Sidecar::dispatch_ended(InvId inv, DispatchNo no, const PodId& pod, Outcome outcome, Seconds took,
+                             const Load& load, std::string_view answer) {
+    Held* held = held_.find(inv.value);
+    if (!must(held, "what was dispatched is held")) return;
+    --held->out;
+    ++outcomes_[outcome];
+    const bool serves = outcome == Outcome::succeeded && !held->concluded;
+    if (serves) held->concluded = true, clients_.answer(held->client, answer);
+    choice_->dispatch_ended(clock_now(), inv, no, pod, outcome, took, held->concluded, load);
+    settle(inv);
+}
+void Sidecar::probe_ended(const PodId& pod, Outcome outcome, Seconds took, const Load& load) {
+    choice_->probe_ended(clock_now(), pod, outcome, took, load);
+}
+
+// --- List and platform
+// --------------------------------------------------------------------------------------
+void Sidecar::listed(ListKind kind, const std::vector<PodLine>& lines,
+                     const std::vector<Address>& addresses) {
+    ++lists_;
+    pods_.listed(kind, lines, addresses);
+    choice_->pods_listed(clock_now(), kind, lines);
+    if (listed_ || lines.empty()) return;
+    listed_ = true;
+    clients_.wake();
+}
+void Sidecar::list_lost(const std::string& why) {
+    ++lost_;
+    log_.line("list lost: {}", why);
+    choice_->list_lost(clock_now());
+}
+void Sidecar::stage_told(Build build, Stage stage, Phase phase, double cap, Seconds age) {
+    choice_->stage_told(clock_now(), build, stage, phase, cap, age);
+}
+void Sidecar::answer_flagged(const std::string& operation, const PodId& pod, Seconds sent_ago) {
+    const auto op = operations_.find(operation);
+    if (op != operations_.end()) choice_->answer_flagged(clock_now(), op->second, pod, sent_ago);
+}
+void Sidecar::vote_answered(VoteReply reply) { choice_->vote_answered(clock_now(), reply); }
+
+// --- The end, and what is told of this sidecar
+// ----------------------------------------------------------------
+void Sidecar::let_go() {
+    letting_go_ = true;
+    clients_.let_go();
+    loop_.due.at(clock_now() + kLinger / 10, [this] { let_go(); });
+}
+void Sidecar::report_later() {
+    report_ = loop_.due.at(clock_now() + kReportEvery, [this] {
+        report();
+        report_later();
+    });
+}
+void Sidecar::report() {
+    rusage used{};
+    ::getrusage(RUSAGE_SELF, &used);
+    const auto count = [&](Outcome outcome) { return outcomes_[outcome]; };
+    log_.line(
+        "taken {} held {} (peak {}) throttled {} terminated {} gone {}; ended: succeeded {} failed {} full "
+        "{} "
+        "timed out {} unreachable {} broken {} moot {}, recalled {}; lists {} lost {}; clients {} pod "
+        "connections "
+        "{} descriptors peak {} memory peak {} MB CPU {:.1f} s",
+        taken_, held_.size(), held_peak_, throttled_, terminated_, went_, count(Outcome::succeeded),
+        count(Outcome::failed), count(Outcome::full), count(Outcome::timed_out), count(Outcome::unreachable),
+        count(Outcome::broken), count(Outcome::moot), recalled_, lists_, lost_, clients_.size(),
+        pods_.connections(), loop_.peak() + 4, used.ru_maxrss / 1024,
+        static_cast<double>(used.ru_utime.tv_sec + used.ru_stime.tv_sec) +
+            static_cast<double>(used.ru_utime.tv_usec + used.ru_stime.tv_usec) * 1e-6);
+    for (const auto& [what, times] : broken_musts()) log_.line("did not hold {} times: {}", times, what);
+}
+
+}  // namespace tideline::net
--- /dev/null
+++ b/src/net/sidecar.hpp
@@ -0,0 +1,95 @@
+// Joins the peers and the module: tells the module what happens, and carries out what it decides.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "choice.hpp"
+#include "net/clients.hpp"
+#include "net/list.hpp"
+#include "net/log.hpp"
+#include "net/platform.hpp"
+#include "net/pods.hpp"
+#include "net/slip.hpp"
+
+namespace tideline::net {
+
+class Sidecar : public Host, Clients::Owner, Pods::Owner, List::Owner, Platform::Owner {
+  public:
+    Sidecar(Loop& loop, Log& log, const Slip& slip);
+    ~Sidecar() override;
+    void let_go();  // after SIGTERM
+    bool done() const { return letting_go_ && clients_.size() == 0 && held_.size() == 0; }
+    void report();
+
+  private:
+    struct Held {  // an invocation that was taken, until nothing of it is out
+        ClientNo client;
+        std::string statement;
+        std::size_t d_at = 0, d_size = 0;
+        Operation op;
+        Customer customer;
+        ObjectKey key;
+        Seconds budget = 0, ends = 0;
+        int dispatches = 0, out = 0;
+        bool concluded = false;
+    };
+    // Host
+    void dispatch(InvId inv, const PodId& pod, Seconds stop_at) override;
+    void throttle(InvId inv, Seconds come_back) override;
+    void terminate(InvId inv) override;
+    void probe(const PodId& pod) override { pods_.probe(pod); }
+    void follow_list() override { list_.follow(); }
+    void fetch_list() override { list_.fetch(); }
+    void vote(Build build, Stage stage, Vote vote) override { platform_.vote(build, stage, vote); }
+    void alarm(Seconds after, AlarmId alarm) override;
+    void note(const std::string& text) override { log_.line("{}", text); }
+    // Clients::Owner
+    bool can_serve() override { return listed_; }
+    bool room_for_one() override;
+    std::optional<InvId> admit(ClientNo client, std::string_view statement, std::size_t d_at,
+                               std::size_t d_size, std::string_view operation, std::string_view customer,
+                               std::string_view record, Seconds budget) override;
+    void taken(InvId inv) override;
+    void client_went(InvId inv) override;
+    // Pods::Owner
+    std::string statement_for(InvId inv, Seconds stop_at) override;
+    bool still_good(InvId inv, DispatchNo no) override;
+    void dispatch_ended(InvId inv, DispatchNo no, const PodId& pod, Outcome outcome, Seconds took,
+                        const Load& load, std::string_view answer) override;
+    void probe_ended(const PodId& pod, Outcome outcome, Seconds took, const Load& load) override;
+    // List::Owner
+    void listed(ListKind kind, const std::vector<PodLine>& lines,
+                const std::vector<Address>& addresses) override;
+    void list_lost(const std::string& why) override;
+    // Platform::Owner
+    void stage_told(Build build, Stage stage, Phase phase, double cap, Seconds age) override;
+    void answer_flagged(const std::string& operation, const PodId& pod, Seconds sent_ago) override;
+    void vote_answered(VoteReply reply) override;
+    void platform_said(const std::string& what) override { log_.line("platform: {}", what); }
+
+    void conclude(InvId inv, std::string_view answer);
+    void settle(InvId inv);  // forgotten once concluded with nothing out
+    void report_later();
+
+    Loop& loop_;
+    Log& log_;
+    const Terms terms_;
+    const std::size_t sockets_;
+    std::map<std::string, Operation, std::less<>> operations_;
+    std::map<std::string, Customer, std::less<>> customers_;
+    Slots<Held> held_;
+    Clients clients_;
+    Pods pods_;
+    List list_;
+    Platform platform_;
+    std::unique_ptr<Choice> choice_;
+    bool listed_ = false, letting_go_ = false;
+    Due::Key report_ = Due::kNone;
+    std::map<Outcome, long> outcomes_;
+    long taken_ = 0, throttled_ = 0, terminated_ = 0, went_ = 0, recalled_ = 0, lists_ = 0, lost_ = 0;
+    std::size_t held_peak_ = 0;
+};
+
+}  // namespace tideline::net
--- a/src/drill/terms.cpp
+++ b/src/terms_of.cpp
@@ -1,8 +1,8 @@
-#include "drill/terms.hpp"
+#include "terms_of.hpp"
 
 #include <cmath>
 
-namespace tideline::drill {
+namespace tideline {
 namespace {
 
 using nlohmann::json;
@@ -25,6 +25,7 @@
     {"classes.effect", "operations.effect"},
     {"classes.gain", "operations.billed_value"},
     {"classes.group", "operations.group"},
+    {"classes.name", "operations.name"},
     {"classes.lateWorth", "operations.late_share"},
     {"classes.promiseUs", "operations.slo_time"},
     {"classes.stream", "operations.stream"},
@@ -55,6 +56,7 @@
     {"kinds", "kinds"},
     {"me", "me"},
     {"orgs", "customers"},
+    {"orgs.name", "customers.name"},
     {"orgs.quotaPerS", "customers.quota"},
     {"orgs.share", "customers.share"},
     {"overShareWorth", "over_share_value"},
@@ -143,4 +145,4 @@
     return walk.terms;
 }
 
-}  // namespace tideline::drill
+}  // namespace tideline
--- /dev/null
+++ b/src/terms_of.hpp
@@ -0,0 +1,12 @@
+// Reads the terms told at start from JSON, for the drill and the sidecar alike: names and units only.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include "words.hpp"
+
+namespace tideline {
+
+Terms terms_of(const nlohmann::json& profile);
+
+}  // namespace tideline
