--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -128,6 +128,10 @@
 // fails, being slow, slowing the earlier build's pods too, answers that clients flagged as wrong.
 using Charge = Operation;
 constexpr Charge kSlowness{-1}, kFlagged{-2}, kAny{-4}, kFleet{-3};
+const std::map<Charge, std::string> kBeyondOne = {{kSlowness, "slow"},
+                                                  {kFlagged, "answers flagged"},
+                                                  {kAny, "operations fail"},
+                                                  {kFleet, "slows all pods"}};
 
 }  // namespace
 
@@ -194,9 +198,8 @@
     double sidecars, back_votes, cold_share, fall_multiple, allowance, first_cap;
     double part_each;  // of the evidence that a back vote needs, where several must agree
     double flagged_share, longest_come_back = 0;
-    bool crossing_costs, may_probe;
     int guarded_stages, dispatches_most;
-    bool per_operation, one_way, by_clock, by_work;
+    bool per_operation, one_way, by_clock, by_work, crossing_costs, may_probe;
     Location home;
 
     void read_terms() {
@@ -435,8 +438,7 @@
     // Danger: with hundreds of sidecars none has enough out for an in-flight limit to bind, and a jam, once
     // the pods hold too much, feeds itself. A share of what is taken is sent, the rest given up at once: it
     // falls with each late answer, by how late it is, while most are slow, and grows with each in time.
-    // Should also stop a storm of second dispatches. Harms where pods are silent for another reason, while
-    // that lasts.
+    // Should also stop a storm of second dispatches. Harms while pods are silent for another reason.
     void set_share(const Cover& cover, Outcome outcome, Seconds since_taken) {
         if (outcome == Outcome::full) share *= kShareFull;
         if (outcome != Outcome::succeeded && outcome != Outcome::timed_out) return;
@@ -453,8 +455,7 @@
             return give_up(id, inv);
         const bool in_turn = !inv.dispatches.empty() || waiting.empty();
         if (Pod* pod = in_turn ? pick(inv) : nullptr) return send(id, inv, *pod);
-        // Danger: what is held when this sidecar stands still is not answered in time. Once it did, it holds
-        // none.
+        // Danger: what is held when this sidecar stands still comes too late. Once it did, it holds none.
         if (!any_place(inv) || now < woke + kWary) return give_up(id, inv);
         const auto ahead = std::count_if(waiting.begin(), waiting.end(), [&](InvId each) {
             const auto it = open.find(each);
@@ -561,8 +562,7 @@
     }
     static double slow_line(const LastFew<double>& times) { return kSlowTimes * quantile(times, 0.5); }
     // The half of the pods that has the least share of bad answers: a fault of some machines leaves it clean.
-    // Where several back votes must agree it is more than half: with an answer a pod a half is only the
-    // luckiest.
+    // Where several back votes must agree it is more: with an answer a pod a half is only the luckiest.
     Count calmer_half(const std::map<PodId, Count>& of_pods) const {
         std::vector<Count> sorted;
         for (const auto& [pod, count] : of_pods) sorted.push_back(count);
@@ -613,8 +613,7 @@
     }
     // The score of a charge; 0 on too little evidence. A flag stands for several wrong answers.
     // Danger: on thin traffic no sidecar of hundreds sees three failures in time. Where several back votes
-    // must agree, the evidence behind them adds up: each needs its part of it, down to a third, so one
-    // failure.
+    // must agree, the evidence behind them adds up: each needs its part of it, down to one failure.
     double score(Charge charge) {
         const Count bad = evidence(charge);
         if (charge == kSlowness)
@@ -671,12 +670,9 @@
             const Charge charge = sorted[i].second;
             const Count bad = evidence(charge), old = before(charge);
             marks.insert(charge);
-            const std::string what = charge == kSlowness ? "slow"
-                                     : charge == kFleet  ? "slows all pods"
-                                     : charge == kAny    ? "operations fail"
-                                     : charge == kFlagged
-                                         ? "answers flagged"
-                                         : "operation " + std::to_string(charge.value) + " fails";
+            const std::string what = charge.value >= 0
+                                         ? "operation " + std::to_string(charge.value) + " fails"
+                                         : kBeyondOne.at(charge);
             host.note("build " + std::to_string(judged.value) + " marked in stage " +
                       std::to_string(judged_stage.value) + ": " + what + ", " + bad.text() +
                       ", earlier build " + old.text());
@@ -690,8 +686,7 @@
         if (d.cold) return;
         for (const Charge charge : {inv.op, kAny})
             count(charge, d.pod.pod, d.pod.build, 1, outcome == Outcome::failed);
-        // Danger: under pressure the fuller pods are slower whatever they run, and the trial's are the
-        // fuller.
+        // Danger: under pressure the fuller pods are slower whatever they run, and the trial's are fuller.
         if (outcome == Outcome::failed || !d.warm || now < pressed + kPressed) return;
         auto& times = earlier_times.try_emplace(inv.op, kTimesKept).first->second;
         if (times.size() >= part_each * kTimesLeast)
@@ -854,10 +849,8 @@
                 pod.rest_until = std::max(pod.rest_until, now + kRestFull * draw(0.75, 1.25));
                 break;
             case Outcome::unreachable:
-                rest(pod, "can't be reached");
-                break;
             case Outcome::broken:
-                rest(pod, "connection broke");
+                rest(pod, outcome == Outcome::broken ? "connection broke" : "can't be reached");
                 break;
             case Outcome::timed_out:
                 ratios.add(took / std::max(1e-6, cover.shortest()));
@@ -905,19 +898,17 @@
     void dropped(InvId id) {
         const auto it = open.find(id);
         if (it == open.end()) return;
-        it->second.concluded = true;
-        it->second.waiting = false;
+        it->second.concluded = true, it->second.waiting = false;
         if (!it->second.out()) open.erase(it);
     }
 
     void probed(const PodId& id, Outcome outcome) {
         const auto it = pods.find(id);
         if (it == pods.end() || !it->second.probed) return;
-        Pod& pod = it->second;
         if (outcome == Outcome::succeeded)
-            pod.proving = true;
+            it->second.proving = true;
         else
-            rest(pod, "probe failed");
+            rest(it->second, "probe failed");
     }
 
     // Danger: the pod may have taken up another build since; a flag for what it ran before is not its own.
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -19,9 +19,9 @@
         wait(first_, "silent");
     }
     void came_in() override {
-        wait(call_.spoke_ ? silence_ : first_, "silent");
         const std::size_t used = reader_.take(in_.all(), *this);
         if (closed()) return;
+        wait(call_.spoke_ ? silence_ : first_, "silent");
         in_.drop(used);
         if (lost_.empty() && reader_.broken()) lost_ = "broken answer";
         if (!lost_.empty()) return call_.lose(lost_);
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -22,13 +22,21 @@
 
 }  // namespace
 
-List::List(Loop& loop, Owner& owner, const Terms& terms, Address address)
+List::List(Loop& loop, Owner& owner, const Terms& terms, Address address, const json& known)
     : loop_(loop),
       owner_(owner),
       terms_(terms),
       address_(address),
       fetch_(loop, address),
-      watch_(loop, address) {}
+      watch_(loop, address) {
+    read_revision(known);
+}
+
+void List::read_revision(const json& list) {
+    if (!list.is_object()) return;
+    const auto revision = list.find("revision");
+    if (revision != list.end() && revision->is_number_integer()) revision_ = revision->get<std::int64_t>();
+}
 
 bool List::read(const json& list, bool first_copy) {
     if (!list.is_object() || !list.contains("members") || !list["members"].is_array()) return false;
@@ -54,8 +62,7 @@
             continue;  // an entry that makes no sense
         }
     }
-    const auto revision = list.find("revision");
-    if (revision != list.end() && revision->is_number_integer()) revision_ = revision->get<std::int64_t>();
+    read_revision(list);
     const auto complete = list.find("complete");
     const bool whole =
         first_copy || (complete != list.end() && complete->is_boolean() && complete->get<bool>());
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -19,7 +19,8 @@
                             const std::vector<Address>& addresses) = 0;
         virtual void list_lost(const std::string& why) = 0;
     };
-    List(Loop& loop, Owner& owner, const Terms& terms, Address address);
+    // `known` is the copy that was told at start; a watch asks for what came after it.
+    List(Loop& loop, Owner& owner, const Terms& terms, Address address, const nlohmann::json& known);
 
     // False where it is no list; an entry that makes no sense is passed over.
     bool read(const nlohmann::json& list, bool first_copy);
@@ -28,6 +29,7 @@
 
   private:
     void take(const std::string& text);
+    void read_revision(const nlohmann::json& list);
     Loop& loop_;
     Owner& owner_;
     const Terms& terms_;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -45,7 +45,7 @@
       customers_(names_of<Customer>(terms_, "customers")),
       clients_(loop, *this),
       pods_(loop, *this, slip.need("allowed.connect_time"), slip.need("allowed.keep_idle")),
-      list_(loop, *this, terms_, slip.list),
+      list_(loop, *this, terms_, slip.list, slip.known),
       platform_(loop, *this, slip.platform, slip.need("release.vote_wait"), slip.seed) {
     if (operations_.empty()) throw std::runtime_error("missing term: operations.0.name");
     choice_ = std::make_unique<Choice>(*this, terms_, slip.seed, clock_now());
--- /dev/null
+++ b/tests/parsers.cpp
@@ -0,0 +1,203 @@
+// The parsers and tables under the sockets: every split, and seeded random bytes.
+#include <map>
+#include <random>
+
+#include "helpers.hpp"
+#include "net/due.hpp"
+#include "net/http.hpp"
+#include "net/limits.hpp"
+#include "net/link.hpp"
+#include "net/pg.hpp"
+#include "net/ring.hpp"
+#include "net/slots.hpp"
+
+namespace tideline::net {
+namespace {
+
+struct Heard : HttpReader::Taker {
+    std::string text;
+    void head(int status) override { text += "<" + std::to_string(status) + ">"; }
+    void body(std::string_view bytes) override { text += bytes; }
+    void end() override { text += "|"; }
+};
+
+std::string read_in_two(const std::string& bytes, std::size_t split) {
+    HttpReader reader;
+    Heard heard;
+    Ring ring;
+    for (const auto& part : {bytes.substr(0, split), bytes.substr(split)}) {
+        ring.put(part);
+        ring.drop(reader.take(ring.all(), heard));
+    }
+    reader.connection_ended(heard);
+    return reader.broken() ? "broken" : heard.text;
+}
+
+std::map<std::string, std::string> fields_of(const std::string& text) {
+    std::map<std::string, std::string> fields;
+    const bool read = pg::statement(
+        text, [&](std::string_view name, std::string_view value) { fields[std::string(name)] = value; });
+    return read ? fields : std::map<std::string, std::string>{};
+}
+
+}  // namespace
+
+TEST_CASE("HTTP answers come out the same at every split") {
+    const auto& [bytes, text] = GENERATE(table<std::string, std::string>({
+        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1 429 No\r\ncontent-length:0\r\n\r\n",
+         "<200>hello|<429>|"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nA;x=y\r\n0123456789\r\n0\r\nT: "
+         "x\r\n\r\n",
+         "<200>abc0123456789|"},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\nHTTP/1.1 200 OK\r\n\r\nto the end",
+         "<204>|<200>to the end|"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcX\r\n", "broken"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "broken"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n", "broken"},
+        {"SMTP ready, how do you do\r\n\r\n", "broken"},
+    }));
+    for (std::size_t split = 0; split <= bytes.size(); ++split) REQUIRE(read_in_two(bytes, split) == text);
+}
+
+TEST_CASE("an endless head, chunk line or line breaks the answer instead of filling memory") {
+    HttpReader reader;
+    Heard heard;
+    reader.take("HTTP/1.1 200 OK\r\nX: " + std::string(kHeadMost, 'x'), heard);
+    CHECK(reader.broken());
+    HttpReader chunks;
+    chunks.take(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(kChunkLineMost + 1, '1'),
+        heard);
+    CHECK(chunks.broken());
+    Lines lines;
+    std::vector<std::string> got;
+    const auto keep = [&](const std::string& line) { got.push_back(line); };
+    CHECK(lines.add("a\r\n\nb", 3, keep));
+    CHECK(lines.add("c\nde", 3, keep));
+    CHECK_FALSE(lines.add("fg", 3, keep));
+    CHECK(got == std::vector<std::string>{"a", "", "bc"});
+}
+
+TEST_CASE("random bytes never make the parsers read past their end") {
+    const auto seed = GENERATE(range(1u, 40u));
+    std::ranlux24_base chance(seed);
+    HttpReader reader;
+    Heard heard;
+    Ring http, pg_bytes;
+    const std::string likely = "HTTP/1.1 200 \r\n:0Q\0S,=/*'";
+    for (int i = 0; i < 400; ++i) {
+        std::string bytes;
+        for (auto n = chance() % 40; n > 0; --n)
+            bytes += chance() % 3 ? likely[chance() % likely.size()] : static_cast<char>(chance() & 0xff);
+        http.put(bytes);
+        http.drop(reader.take(http.all(), heard));
+        pg_bytes.put(bytes);
+        char type = 0;
+        std::string_view body;
+        std::size_t whole = 0;
+        const auto read = pg::next(pg_bytes.all(), 64, type, body, whole);
+        if (read == pg::Read::whole) REQUIRE(whole <= pg_bytes.size());
+        pg::error_field(body, 'C'), pg::parameter(body), pg::one_value(body, 8), pg::load(bytes),
+            fields_of(bytes);
+        pg_bytes.drop(read == pg::Read::whole ? whole : read == pg::Read::bad ? pg_bytes.size() : 0);
+    }
+}
+
+TEST_CASE("messages are whole or not yet, at every split; absurd lengths are bad") {
+    const std::string bytes = pg::query("SELECT 1");
+    char type = 0;
+    std::string_view body;
+    std::size_t whole = 0;
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        REQUIRE(pg::next(std::string_view(bytes).substr(0, n), kMessageMost, type, body, whole) ==
+                pg::Read::more);
+    const std::string longer = bytes + "rest";
+    REQUIRE(pg::next(longer, kMessageMost, type, body, whole) == pg::Read::whole);
+    CHECK((type == 'Q' && whole == bytes.size() && body == std::string_view("SELECT 1\0", 9)));
+    CHECK(pg::next(std::string("Q\x7f\xff\xff\xff", 5), kMessageMost, type, body, whole) == pg::Read::bad);
+    CHECK(pg::next(std::string("Q\0\0\0\3", 5), kMessageMost, type, body, whole) == pg::Read::bad);
+    std::uint32_t code = 0;
+    CHECK(pg::next_startup(pg::startup("svc", "main"), code, body, whole) == pg::Read::whole);
+    CHECK(code == pg::kMajor << 16);
+    CHECK(pg::next_startup(std::string("\0\0\0\4", 4), code, body, whole) == pg::Read::bad);
+}
+
+TEST_CASE("statements: the comment's fields in any order, one statement in one of two forms") {
+    const auto read = fields_of("SELECT v FROM records WHERE k = '7f' /* id=9b,c=basket,t=acme,d=480 */");
+    CHECK(read == std::map<std::string, std::string>{
+                      {"", "7f"}, {"id", "9b"}, {"c", "basket"}, {"t", "acme"}, {"d", "480"}});
+    CHECK(fields_of(
+              "insert into records (k, v) values ('7f', '\\x9f03') returning v /* d=4,k=5c,id=1,r=1,c=o */;")
+              .at("k") == "5c");
+    for (const char* wrong :
+         {"", "SELECT 1", "SELECT v FROM records WHERE k = '7f'",
+          "SELECT v FROM records WHERE k = '7f /* d=1 */", "SELECT v FROM records WHERE k = '7f' /* d=1",
+          "SELECT v FROM records WHERE k = '7f' /* d */",
+          "SELECT v FROM records WHERE k = '7f' /* d=1 */; DROP TABLE records",
+          "INSERT INTO records (k, v) VALUES ('7f') RETURNING v /* d=1 */"})
+        CHECK(fields_of(wrong).empty());
+}
+
+TEST_CASE("what pods send beside the value") {
+    CHECK(pg::load("inflight=7,util=0.61,odd=x,=3") == Load{{"inflight", 7}, {"util", 0.61}, {"", 3}});
+    const std::string error = pg::error("ERROR", "53300", "full", "250");
+    const std::string_view fields = std::string_view(error).substr(5);
+    CHECK(pg::error_field(fields, 'C') == "53300");
+    CHECK(pg::error_field(fields, 'D') == "250");
+    CHECK(pg::error_field(fields, 'H').empty());
+    CHECK(pg::one_value(std::string("\0\1\0\0\0\2ab", 8), 2));
+    CHECK_FALSE(pg::one_value(std::string("\0\1\0\0\0\2ab", 8), 1));
+    CHECK_FALSE(pg::one_value(std::string("\0\2\0\0\0\2ab", 8), 2));
+    CHECK_FALSE(pg::one_value(std::string("\0\1\xff\xff\xff\xff", 6), 9));
+}
+
+TEST_CASE("a ring gives back what was put in, whatever the sizes") {
+    std::ranlux24_base chance(GENERATE(range(1u, 20u)));
+    Ring ring(10000);
+    std::string model;
+    for (int i = 0; i < 2000; ++i) {
+        std::string bytes(chance() % 3000, static_cast<char>('a' + i % 26));
+        const bool fits = model.size() + bytes.size() <= 10000;
+        REQUIRE(ring.put(bytes) == fits);
+        if (fits) model += bytes;
+        const std::size_t gone = model.empty() ? 0 : chance() % (model.size() + 1);
+        REQUIRE(ring.piece() == model.substr(0, ring.piece().size()));
+        if (chance() % 2) REQUIRE(ring.all() == model);
+        ring.drop(gone);
+        model.erase(0, gone);
+        REQUIRE(ring.size() == model.size());
+    }
+}
+
+TEST_CASE("a slot's number is not taken for what came after it") {
+    Slots<int> slots;
+    const auto first = slots.add(1);
+    slots.remove(first);
+    const auto second = slots.add(2);
+    CHECK(first != second);
+    CHECK(slots.find(first) == nullptr);
+    CHECK(*slots.find(second) == 2);
+    slots.remove(first);
+    CHECK(slots.size() == 1);
+}
+
+TEST_CASE("deadlines run in their order; one taken back does not run") {
+    Due due;
+    std::string ran;
+    due.at(2, [&] { ran += "2"; });
+    auto key = due.at(1, [&] { ran += "x"; });
+    due.at(1, [&] { ran += "1", due.soon([&] { ran += "soon"; }); });
+    due.cancel(key);
+    due.run(1.5);
+    CHECK(ran == "1soon");
+    CHECK(due.next() == 2);
+}
+
+TEST_CASE("addresses are host and port in digits") {
+    CHECK(address_of("127.0.0.1:5432"));
+    for (const char* wrong :
+         {"", "127.0.0.1", "localhost:1", "127.0.0.1:0", "127.0.0.1:70000", "127.0.0.1:5x"})
+        CHECK_FALSE(address_of(wrong));
+}
+
+}  // namespace tideline::net
--- /dev/null
+++ b/tests/sockets.cpp
@@ -0,0 +1,703 @@
+// Starts the program, with stand-ins for pods, list and platform on free ports, and speaks to it over
+// loopback.
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+#include "helpers.hpp"
+#include "net/limits.hpp"
+#include "net/pg.hpp"
+
+namespace tideline::net {
+namespace {
+
+using nlohmann::json;
+constexpr double kLong = 10;    // s: what must come, also on a slow machine under the sanitizers
+constexpr double kQuiet = 0.4;  // s: what must not come would have come by then
+
+double now() {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+void rest(double seconds) { std::this_thread::sleep_for(std::chrono::duration<double>(seconds)); }
+
+sockaddr_in loopback(int port) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port = htons(static_cast<std::uint16_t>(port));
+    return at;
+}
+
+// One connection, from either side; every wait is bounded.
+class Peer {
+  public:
+    Peer() = default;
+    explicit Peer(int fd) : fd_(fd) {}
+    Peer(Peer&& other) noexcept : fd_(std::exchange(other.fd_, -1)), in_(std::move(other.in_)) {}
+    Peer& operator=(Peer&& other) noexcept {
+        close();
+        fd_ = std::exchange(other.fd_, -1), in_ = std::move(other.in_);
+        return *this;
+    }
+    ~Peer() { close(); }
+    static Peer to(int port) {
+        const auto at = loopback(port);
+        for (const double until = now() + kLong; now() < until; rest(0.01)) {
+            const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            if (::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0) return Peer(fd);
+            ::close(fd);
+        }
+        return {};
+    }
+    explicit operator bool() const { return fd_ >= 0; }
+    void close() {
+        if (fd_ >= 0) ::close(fd_);
+        fd_ = -1;
+    }
+    void send(std::string_view bytes) { (void)!::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
+    // False once the other side has ended it, or after the time.
+    bool more(double wait = kLong) {
+        pollfd in{fd_, POLLIN, 0};
+        if (::poll(&in, 1, static_cast<int>(wait * 1e3)) != 1) return false;
+        char bytes[65536];
+        const ssize_t got = ::recv(fd_, bytes, sizeof bytes, 0);
+        ended_ = got <= 0;
+        if (got > 0) in_.append(bytes, static_cast<std::size_t>(got));
+        return got > 0;
+    }
+    bool ended(double wait = kLong) {
+        for (const double until = now() + wait; !ended_ && now() < until;) more(until - now());
+        return ended_;
+    }
+    bool quiet(double wait = kQuiet) { return in_.empty() && !more(wait) && !ended_; }
+    // Takes away all up to and with the mark.
+    std::string upto(std::string_view mark) {
+        while (in_.find(mark) == std::string::npos)
+            if (!more()) return {};
+        return take(in_.find(mark) + mark.size());
+    }
+    // Type and body of the next message; no type if none comes.
+    std::pair<char, std::string> message(double wait = kLong) {
+        char type = 0;
+        std::string_view body;
+        std::size_t whole = 0;
+        while (pg::next(in_, kMessageMost, type, body, whole) != pg::Read::whole)
+            if (!more(wait)) return {};
+        const std::string kept(body);
+        take(whole);
+        return {type, kept};
+    }
+    std::string take(std::size_t bytes) {
+        const std::string taken = in_.substr(0, bytes);
+        in_.erase(0, taken.size());
+        return taken;
+    }
+    // What a query was answered: a value, "!" and a code, "empty", or "" if it was not.
+    std::string answer(double wait = kLong) {
+        std::string text;
+        for (;;) {
+            const auto [type, body] = message(wait);
+            if (type == 0) return text;
+            if (type == 'D') text = body.substr(6);
+            if (type == 'I') text = "empty";
+            if (type == 'E') text = "!" + std::string(pg::error_field(body, 'C'));
+            if (type == 'Z') return text;
+        }
+    }
+
+  private:
+    int fd_ = -1;
+    std::string in_;
+    bool ended_ = false;
+};
+
+class Stand {
+  public:
+    Stand() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        auto at = loopback(0);
+        socklen_t size = sizeof at;
+        ::bind(fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+        ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+        ::listen(fd_, 128);
+        port = ntohs(at.sin_port);
+    }
+    ~Stand() { close(); }
+    Stand(const Stand&) = delete;
+    Stand& operator=(const Stand&) = delete;
+    void close() {
+        if (fd_ >= 0) ::close(fd_);
+        fd_ = -1;
+    }
+    Peer take(double wait = kLong) {
+        pollfd in{fd_, POLLIN, 0};
+        if (fd_ < 0 || ::poll(&in, 1, static_cast<int>(wait * 1e3)) != 1) return {};
+        return Peer(::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
+    }
+    int port = 0;
+
+  private:
+    int fd_;
+};
+
+json terms_told() {
+    const auto op = [](const char* name, const char* effect) {
+        return json{{"name", name},   {"effect", effect},    {"promiseUs", 800000}, {"deadlineUs", 2000000},
+                    {"group", "all"}, {"windowUs", 2000000}, {"gain", 1.0}};
+    };
+    return {{"areas", {"a"}},
+            {"classes", {op("read", "free"), op("charge", "single_shot")}},
+            {"ceilings",
+             {{"connectTimeoutUs", 400000},
+              {"keepaliveUs", 30000000},
+              {"maxAttempts", 6},
+              {"probes", false},
+              {"retryAfter", true},
+              {"maxRetryAfterUs", 1000000}}},
+            {"familyInfo",
+             {{"allowance", 1.0},
+              {"mostShares", {0.1, 1.0}},
+              {"per", "all"},
+              {"shielded", 0},
+              {"gateMode", "by_count"},
+              {"soakUs", 500000},
+              {"voteTtlUs", 6000000},
+              {"voteWaitUs", 300000},
+              {"windowUs", 3000000},
+              {"onVotes", 2},
+              {"noesNeeded", 1}}},
+            {"registryMode", "subscribe"},
+            {"safety",
+             {{"coldFrom", 0.4},
+              {"rampTimeUs", 1000000},
+              {"fallMultiple", 4.0},
+              {"fallUs", 1000000},
+              {"drainGraceUs", 500000}}}};
+}
+json pod_line(const std::string& id, int port, const char* phase = "Ready", int build = 41) {
+    return {{"id", id},
+            {"host_port", "127.0.0.1:" + std::to_string(port)},
+            {"locality", "a"},
+            {"flavor", "m"},
+            {"cell", 0},
+            {"phase", phase},
+            {"size", 1.0},
+            {"up_since_ms", 0},
+            {"revision_no", build},
+            {"odd", {}}};
+}
+json state(const char* status, int build = 41, double cap = 1) {
+    return {{"version", build}, {"step", 0}, {"status", status}, {"maxWeight", cap}, {"observedAgoMs", 5000}};
+}
+std::string chunk(const std::string& text) {
+    std::ostringstream size;
+    size << std::hex << text.size();
+    return size.str() + "\r\n" + text + "\r\n";
+}
+const std::string kStream = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+std::string whole_answer(int status, const std::string& body) {
+    return "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+// The program with all that stands around it.
+class Rig {
+  public:
+    explicit Rig(std::size_t count = 2) : pods(count) {
+        char folder[] = "/tmp/tideline-XXXXXX";
+        folder_ = ::mkdtemp(folder);
+        Stand free_port;
+        port = free_port.port;
+        for (std::size_t i = 0; i < count; ++i)
+            members.push_back(pod_line("s-" + std::to_string(i), pods[i].port));
+        told = {{"name", "n0"},
+                {"listen", "127.0.0.1:" + std::to_string(port)},
+                {"discovery", "127.0.0.1:" + std::to_string(list.port)},
+                {"seed", "8c1f30d27a5be964"},
+                {"limits", {{"sockets", 256}}},
+                {"deployer",
+                 {{"address", "127.0.0.1:" + std::to_string(platform.port)}, {"news", state("stable")}}},
+                {"settings", terms_told()}};
+    }
+    ~Rig() {
+        if (pid_ > 0) end(SIGKILL);
+        (void)!std::system(("rm -r " + folder_).c_str());
+    }
+    void start() {
+        if (!told.contains("known"))
+            told["known"] = {{"revision", 41}, {"complete", true}, {"members", members}};
+        const std::string path = folder_ + "/config.json";
+        std::ofstream(path) << told.dump();
+        pid_ = ::fork();
+        if (pid_ == 0) {
+            const int log = ::open((folder_ + "/log").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+            ::dup2(log, STDERR_FILENO);
+            ::setenv("PROXY_CONFIG", path.c_str(), 1);
+            ::execl(TIDELINE_PROGRAM, TIDELINE_PROGRAM, nullptr);
+            ::_exit(127);
+        }
+    }
+    // Started, with the watch and the feed taken.
+    void begin() {
+        start();
+        watch = list.take();
+        REQUIRE(watch.upto("\r\n\r\n").find("since=41") != std::string::npos);
+        watch.send(kStream);
+        feed = platform.take();
+        REQUIRE(feed.upto("\r\n\r\n").find("GET /api/feed") == 0);
+        feed.send(kStream + chunk("{}\n"));
+    }
+    void change(const json& lines, int revision = 43) {
+        watch.send(
+            chunk(json{{"revision", revision}, {"complete", false}, {"members", lines}}.dump() + "\n"));
+    }
+    Peer client() {
+        Peer peer = Peer::to(port);
+        peer.send(pg::startup("svc", "main"));
+        REQUIRE(peer.answer().empty());
+        return peer;
+    }
+    // The next pod's connection that holds a startup message; greeted.
+    Peer pod(double wait = kLong, bool greet = true) {
+        for (const double until = now() + wait; now() < until;)
+            for (Stand& each : pods)
+                if (Peer peer = each.take(0.005)) {
+                    peer.more();
+                    if (greet) peer.take(1 << 20), peer.send(pg::welcome());
+                    return peer;
+                }
+        return {};
+    }
+    // Waits for the program to end by itself: its exit status, or -1.
+    int status(double wait = kLong) {
+        for (const double until = now() + wait; now() < until; rest(0.01)) {
+            int status = 0;
+            if (::waitpid(pid_, &status, WNOHANG) != pid_) continue;
+            pid_ = 0;
+            return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        }
+        return -1;
+    }
+    void signal(int which) { ::kill(pid_, which); }
+    void end(int which) {
+        ::kill(pid_, which);
+        ::waitpid(pid_, nullptr, 0);
+        pid_ = 0;
+    }
+    double cpu() const {
+        std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
+        std::string word;
+        double ticks = 0;
+        for (int i = 1; i <= 15 && file >> word; ++i)
+            if (i >= 14) ticks += std::stod(word);
+        return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    }
+    std::string log() const {
+        std::ifstream file(folder_ + "/log");
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
+    Stand list, platform;
+    std::vector<Stand> pods;
+    json members = json::array(), told;
+    Peer watch, feed;
+    int port = 0;
+
+  private:
+    std::string folder_;
+    pid_t pid_ = 0;
+};
+
+int asked = 0;
+std::string statement(const char* op = "read", int ms = 1500) {
+    return "SELECT v FROM records WHERE k = '7f' /* id=" + std::to_string(++asked) + ",c=" + op +
+           ",t=x,d=" + std::to_string(ms) + " */";
+}
+std::string invocation(const char* op = "read", int ms = 1500) { return pg::query(statement(op, ms)); }
+std::string row(const std::string& value) {
+    std::string size = {'\0', '\1'};
+    for (int i = 3; i >= 0; --i) size += static_cast<char>(value.size() >> (8 * i) & 0xff);
+    return pg::message('T', std::string("\0\1v\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\1", 21)) +
+           pg::message('D', size + value);
+}
+std::string served(const std::string& value) {
+    return pg::message('S', std::string("vitals\0lat_ms=7\0", 16)) + row(value) +
+           pg::message('C', std::string("SELECT 1\0", 9)) + pg::ready();
+}
+std::string failed(const char* code) { return pg::error("ERROR", code, "no") + pg::ready(); }
+
+}  // namespace
+
+TEST_CASE("an invocation is served whole, its statement unchanged but for the time left") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = Peer::to(rig.port);
+    const std::string text = statement();
+    const std::string bytes = pg::startup("svc", "main") + pg::query(text);
+    const bool in_pieces = GENERATE(false, true);
+    for (std::size_t i = 0; i < bytes.size(); i += in_pieces ? 7 : bytes.size()) {
+        client.send(std::string_view(bytes).substr(i, in_pieces ? 7 : bytes.size()));
+        if (in_pieces) rest(0.001);
+    }
+    REQUIRE(client.answer().empty());
+    Peer pod = rig.pod();
+    const auto [type, body] = pod.message();
+    REQUIRE(type == 'Q');
+    const auto at = text.find(",d=") + 3;
+    CHECK(body.substr(0, at) == text.substr(0, at));
+    const int left = std::stoi(body.substr(at));
+    CHECK((left > 500 && left < 1500));
+    const std::string value = std::string(65536, 'v');
+    const std::string answer = served(value);
+    for (std::size_t i = 0; i < answer.size(); i += 9999) pod.send(std::string_view(answer).substr(i, 9999));
+    CHECK(client.answer() == value);
+    client.send(invocation() + invocation() + pg::query(""));  // in a row: answered in order, one at a time
+    for (const char* each : {"1", "2"}) {
+        REQUIRE(pod.message().first == 'Q');
+        CHECK(pod.quiet(0.05));
+        pod.send(served(each));
+    }
+    CHECK(client.answer() == "1");
+    CHECK(client.answer() == "2");
+    CHECK(client.answer() == "empty");
+}
+
+TEST_CASE("each way a dispatch ends tells whether it may have run") {
+    Rig rig;
+    const bool never = GENERATE(true, false);
+    std::function<void(Peer&)> way;
+    if (never)
+        way = GENERATE(
+            as<std::function<void(Peer&)>>{}, [](Peer& p) { p.close(); },
+            [](Peer& p) { p.send(pg::error("FATAL", "53300", "too many connections")); },
+            [](Peer& p) { rest(0.6), p.close(); },  // never comes up
+            [](Peer& p) { p.send(pg::welcome()), p.message(), p.send(failed("53300")); });
+    else
+        way = GENERATE(
+            as<std::function<void(Peer&)>>{},
+            [](Peer& p) { p.send(pg::welcome()), p.message(), p.send(failed("XX000")); },
+            [](Peer& p) { p.send(pg::welcome()), p.message(), p.close(); },
+            [](Peer& p) {
+                p.send(pg::welcome()), p.message(), p.ended();
+            },  // nothing comes, until the time limit
+            [](Peer& p) { p.send(pg::welcome()), p.message(), p.send("?\0\0\0\4"); },
+            [](Peer& p) { p.send(pg::welcome()), p.message(), p.send(std::string("D\x7f\0\0\0", 5)); },
+            [](Peer& p) { p.send(pg::welcome()), p.message(), p.send(pg::ready()); },
+            [](Peer& p) { p.send(pg::welcome()), p.message(), p.send(pg::message('C', "x")); },
+            [](Peer& p) { p.send(pg::welcome()), p.message(), p.send(row("1") + row("2")); },
+            [](Peer& p) { p.send(pg::welcome()), p.message(), p.send(row(std::string(65537, 'x'))); });
+    rig.begin();
+    Peer client = rig.client();
+    client.send(invocation("charge"));
+    Peer first = rig.pod(kLong, false);
+    first.take(1 << 20);
+    way(first);
+    if (never) {  // sent again, or given up as harmless to try again
+        if (Peer second = rig.pod(1); second && second.message().first == 'Q') second.send(served("yes"));
+        CHECK_THAT(client.answer(), Catch::Equals("yes") || Catch::Equals("!53300"));
+    } else {
+        CHECK(client.answer() == "!58000");
+        CHECK_FALSE(rig.pod(0.2));
+    }
+}
+
+TEST_CASE("what no pod may take is throttled, with the time to come back") {
+    Rig rig(1);
+    rig.members[0]["phase"] = "Terminating";
+    rig.begin();
+    Peer client = rig.client();
+    client.send(invocation());
+    const auto [type, body] = client.message();
+    REQUIRE(type == 'E');
+    CHECK(pg::error_field(body, 'C') == "53300");
+    CHECK(std::stoi(std::string(pg::error_field(body, 'D'))) >= 1);
+}
+
+TEST_CASE("bad input from a client reaches no pod") {
+    Rig rig(1);
+    rig.begin();
+    SECTION("where the stream can't be trusted, the connection ends") {
+        const std::string bytes =
+            GENERATE(std::string("\0\0\0\x8\0\2\0\0", 8), std::string("\x7f\0\0\0xxxx", 8),
+                     pg::startup("svc", "main") + "Q\x7f\xff\xff\xff",
+                     pg::startup("svc", "main") + pg::message('P', "x"),
+                     pg::startup("svc", "main") + pg::message('Q', "no end"));
+        Peer client = Peer::to(rig.port);
+        client.send(bytes);
+        CHECK(client.ended());
+        bool told = false;
+        while (const char type = client.message(0.1).first) told = told || type == 'E';
+        CHECK(told);
+    }
+    SECTION("a query that is no invocation gets an error, the next one is served") {
+        Peer client = rig.client();
+        for (const char* text : {"SELECT 1", "SELECT v FROM records WHERE k = '1'",
+                                 "SELECT v FROM records WHERE k = '1' /* id=1,c=unknown,d=5 */",
+                                 "SELECT v FROM records WHERE k = '1' /* id=1,c=read,d=soon */",
+                                 "SELECT v FROM records WHERE k = '1' /* id=1,c=read */"}) {
+            client.send(pg::query(text));
+            CHECK_THAT(client.answer(), Catch::StartsWith("!42") || Catch::StartsWith("!22"));
+        }
+        client.send(pg::query(""));
+        CHECK(client.answer() == "empty");
+    }
+    SECTION("encryption is declined, a cancel request closed without a word") {
+        Peer client = Peer::to(rig.port);
+        client.send(std::string("\0\0\0\x8\4\xd2\x16\x2f", 8));
+        client.more();
+        CHECK(client.take(9) == "N");
+        client.send(pg::startup("svc", "main"));
+        CHECK(client.answer().empty());
+        Peer cancel = Peer::to(rig.port);
+        cancel.send(std::string("\0\0\0\x10\4\xd2\x16\x2e\0\0\0\1\0\0\0\1", 16));
+        CHECK(cancel.ended());
+        CHECK(cancel.take(9).empty());
+    }
+    CHECK_FALSE(rig.pod(0.1));
+}
+
+TEST_CASE("the empty query is answered only when there is a list") {
+    Rig rig(1);
+    rig.told["known"] = {{"revision", 41}, {"complete", true}, {"members", json::array()}};
+    rig.begin();
+    Peer client = rig.client();
+    client.send(pg::query(""));
+    CHECK(client.quiet());
+    rig.change({"no entry", {{"id", 7}}, rig.members[0]});
+    CHECK(client.answer() == "empty");
+}
+
+TEST_CASE("what waits for a connection does not go to a pod that began to drain") {
+    Rig rig;
+    rig.begin();
+    Peer client = rig.client();
+    client.send(invocation());
+    Peer first = rig.pod(kLong, false);
+    first.take(1 << 20);
+    for (auto& each : rig.members) each["phase"] = "Terminating";
+    rig.change(rig.members);
+    rest(0.1);
+    first.send(pg::welcome());
+    CHECK(client.answer() == "!53300");
+    CHECK(first.message(0.2).first != 'Q');
+}
+
+TEST_CASE("an id that returns at another address gets no old connection") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    client.send(invocation());
+    Peer old = rig.pod();
+    REQUIRE(old.message().first == 'Q');
+    old.send(served("old"));
+    CHECK(client.answer() == "old");
+    Stand other;
+    rig.change(json::array({pod_line("s-0", other.port, "Ready", 41)}));
+    CHECK(old.ended());
+    client.send(invocation());
+    Peer fresh = other.take();
+    REQUIRE(fresh);
+    fresh.send(pg::welcome());
+    fresh.more(), fresh.take(static_cast<std::size_t>(pg::startup("svc", "main").size()));
+    REQUIRE(fresh.message().first == 'Q');
+    fresh.send(served("new"));
+    CHECK(client.answer() == "new");
+}
+
+TEST_CASE("connections are ended before the idle time told") {
+    Rig rig(1);
+    rig.told["settings"]["ceilings"]["keepaliveUs"] = 500000;
+    rig.begin();
+    Peer client = rig.client();
+    client.send(invocation());
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    pod.send(served("1"));
+    REQUIRE(client.answer() == "1");
+    CHECK(pod.quiet(0.2));
+    CHECK(pod.ended(1));
+}
+
+TEST_CASE("a client that goes leaves nothing behind for the next one") {
+    Rig rig(1);
+    rig.begin();
+    Peer gone = rig.client();
+    gone.send(invocation());
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    gone.close();
+    Peer client = rig.client();
+    client.send(invocation());
+    Peer second = rig.pod();  // the first is still in use
+    REQUIRE(second.message().first == 'Q');
+    pod.send(served("for the one that went"));
+    second.send(served("mine"));
+    CHECK(client.answer() == "mine");
+}
+
+TEST_CASE("a lost watch is asked for again, from the last revision") {
+    Rig rig(1);
+    rig.begin();
+    rig.change(rig.members, 57);
+    const std::string end =
+        GENERATE(std::string(), chunk("{no json\n"), std::string("no chunk\r\n"), chunk("[]\n"));
+    rig.watch.send(end);
+    if (end.empty()) rig.watch.close();
+    Peer again = rig.list.take();
+    CHECK(again.upto("\r\n\r\n").find("follow=1&since=57") != std::string::npos);
+    again.send(whole_answer(503, "busy"));
+    Peer call = rig.list.take();  // the second time for the whole list, and then the watch
+    CHECK(call.upto("\r\n\r\n").find("GET /v1/servers HTTP") == 0);
+    Stand other;
+    call.send(whole_answer(
+        200, json{{"revision", 60}, {"complete", true}, {"members", {pod_line("s-9", other.port)}}}.dump(1)));
+    Peer client = rig.client();
+    rest(0.1);
+    client.send(invocation());
+    CHECK(other.take());
+}
+
+TEST_CASE("a silent watch counts as lost, a silent feed is kept until another speaks") {
+    Rig rig(1);
+    rig.begin();
+    Peer watch = rig.list.take(kListSilence + 3);
+    CHECK(watch.upto("\r\n\r\n").find("follow=1") != std::string::npos);
+    Peer feed = rig.platform.take(kFeedSilence + 3);
+    REQUIRE(feed);
+    CHECK_FALSE(rig.feed.ended(0.2));
+    feed.send(kStream + chunk("{}\n"));
+    CHECK(rig.feed.ended());
+}
+
+TEST_CASE("a late answer is not taken for the next vote's") {
+    Rig rig(1);
+    rig.begin();
+    rig.feed.send(
+        chunk(json{{"type", "ROLLOUT"}, {"object", state("canary", 42, 0.5)}}.dump() + "\n" +
+              json{{"type", "DISPUTE"}, {"object", {{"pod", "s-0"}, {"kind", "read"}, {"observedAgoMs", 9}}}}
+                  .dump() +
+              "\n"));
+    rig.feed.send(chunk(json{{"type", "NEW"}, {"object", 7}}.dump() + "\n"));
+    Peer votes = rig.platform.take();
+    const auto vote = [&] { return votes.upto("\r\n\r\n").empty() ? "" : votes.upto("}"); };
+    CHECK(vote().find("\"vote\":\"approve\"") != std::string::npos);
+    CHECK(vote().find("\"version\":42") != std::string::npos);  // after the time-out, again
+    votes.send(whole_answer(429, "{\"error\":\"BUSY\"}"));
+    rest(0.05);
+    votes.send(whole_answer(200, state("canary", 42, 0.5).dump()));
+    CHECK(votes.quiet(1));  // it stands
+}
+
+TEST_CASE("an answer that came before its time-out lapsed is served by a sidecar that stood still") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    client.send(invocation("charge", 500));
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    rig.signal(SIGSTOP);
+    pod.send(served("in time"));
+    rest(0.7);
+    rig.signal(SIGCONT);
+    CHECK(client.answer() == "in time");
+}
+
+TEST_CASE("killed and started again under its name, it serves from nothing") {
+    Rig rig(1);
+    rig.begin();
+    for (int i = 0; i < 2; ++i) {
+        Peer client = rig.client();
+        client.send(invocation());
+        Peer pod = rig.pod();
+        REQUIRE(pod.message().first == 'Q');
+        if (i == 0) {
+            rig.end(SIGKILL);
+            CHECK(client.ended());
+            rig.begin();
+            continue;
+        }
+        pod.send(served("again"));
+        CHECK(client.answer() == "again");
+    }
+}
+
+TEST_CASE("SIGTERM: serves on while clients still come, answers all it took, then ends with 0") {
+    Rig rig(1);
+    rig.begin();
+    Peer busy = rig.client(), idle = rig.client();
+    busy.send(invocation());
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    rig.signal(SIGTERM);
+    rest(0.2);
+    Peer late = rig.client();
+    idle.send(invocation());
+    Peer second = rig.pod();
+    REQUIRE(second.message().first == 'Q');
+    second.send(served("late"));
+    CHECK(idle.answer() == "late");
+    CHECK(late.ended());
+    CHECK(idle.ended());
+    CHECK(rig.status(0.1) == -1);
+    pod.send(served("answered"));
+    CHECK(busy.answer() == "answered");
+    CHECK(busy.ended());
+    busy.close(), idle.close(), late.close();
+    CHECK(rig.status() == 0);
+    CHECK(rig.log().find("did not hold") == std::string::npos);
+}
+
+TEST_CASE("short of descriptors it lets idle connections go, does not spin, and serves") {
+    Rig rig(1);
+    rig.told["limits"]["sockets"] = 64;
+    rig.begin();
+    std::vector<Peer> idle;
+    for (int i = 0; i < 60; ++i) {
+        idle.push_back(Peer::to(rig.port));
+        idle.back().send(pg::startup("svc", "main"));
+    }
+    Peer client = rig.client();
+    client.send(invocation());
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    pod.send(served("served"));
+    CHECK(client.answer() == "served");
+    std::vector<Peer> mute;  // of these nothing can be let go: they have not even begun
+    for (int i = 0; i < 60; ++i) mute.push_back(Peer::to(rig.port));
+    const double before = rig.cpu();
+    rest(1);
+    CHECK(rig.cpu() - before < 0.3);
+    mute.clear();
+    client.send(pg::query(""));
+    Peer after = rig.client();
+    after.send(pg::query(""));
+    CHECK(after.answer() == "empty");
+}
+
+TEST_CASE("a term that is missing is named on standard error, with a status other than 0") {
+    Rig rig(1);
+    const auto& [pointer, named] =
+        GENERATE(table<std::string, std::string>({{"/listen", "listen"},
+                                                  {"/discovery", "discovery"},
+                                                  {"/deployer/address", "deployer/address"},
+                                                  {"/seed", "seed"},
+                                                  {"/settings", "settings"},
+                                                  {"/settings/safety/drainGraceUs", "rules.drain_grace"},
+                                                  {"/settings/ceilings/keepaliveUs", "allowed.keep_idle"}}));
+    const json::json_pointer at(pointer);
+    rig.told[at.parent_pointer()].erase(at.back());
+    rig.start();
+    CHECK(rig.status() == 1);
+    CHECK(rig.log().find(named) != std::string::npos);
+}
+
+}  // namespace tideline::net
