--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -127,11 +127,8 @@
 // What a build may be marked for: an operation that fails (by stages, as the design page has it), any that
 // fails, being slow, slowing the earlier build's pods too, answers that clients flagged as wrong.
 using Charge = Operation;
-constexpr Charge kSlowness{-1}, kFlagged{-2}, kAny{-4}, kFleet{-3};
-const std::map<Charge, std::string> kBeyondOne = {{kSlowness, "slow"},
-                                                  {kFlagged, "answers flagged"},
-                                                  {kAny, "operations fail"},
-                                                  {kFleet, "slows all pods"}};
+constexpr Charge kSlowness{-1}, kFlagged{-2}, kFleet{-3}, kAny{-4};
+constexpr const char* kCharges[] = {"", "slow", "answers flagged", "slows all pods", "operations fail"};
 
 }  // namespace
 
@@ -277,8 +274,7 @@
 
     // Danger: a restart forgets what was sent; so for one window after the start the allowance is not used.
     // Danger: the allowances of hundreds of sidecars add up to far more than the few trial pods can do. So
-    // the cap's share of what was taken is used whole, its last part by a draw a window, beyond it only a
-    // fifth.
+    // the cap's share of what was taken is used whole, its last part by a draw a window; beyond it a fifth.
     bool may_expose(const Invocation& inv, Build build) {
         if (!on_trial(build)) return true;
         const double cap = cap_of(build);
@@ -670,9 +666,9 @@
             const Charge charge = sorted[i].second;
             const Count bad = evidence(charge), old = before(charge);
             marks.insert(charge);
-            const std::string what = charge.value >= 0
-                                         ? "operation " + std::to_string(charge.value) + " fails"
-                                         : kBeyondOne.at(charge);
+            const std::string what = charge.value < 0
+                                         ? kCharges[-charge.value]
+                                         : "operation " + std::to_string(charge.value) + " fails";
             host.note("build " + std::to_string(judged.value) + " marked in stage " +
                       std::to_string(judged_stage.value) + ": " + what + ", " + bad.text() +
                       ", earlier build " + old.text());
