Work sent, not taken, tells a busy hour from a build that slows all pods

Ruled out: lost news or votes (none in the logs), too few answers (31 a span). Cause: count_fleet passed over all answers while more than 1.25 times the calm rate was taken, and throttled clients coming back (1.63 tries an invocation) are taken too. Now what was sent is compared.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -36,7 +36,7 @@
 constexpr double kTallyFloor = 0.1;     // share: tallies count withdrawn and lost dispatches as failed
 constexpr double kCrudePart = 0.5;      // the same where chance alone gives one: flags, a slow fleet
 constexpr double kFleetFloor = 0.16;    // share: as for slowness, and more, since hours differ as well
-constexpr double kCalmRate = 1.25;   // multiple of the work asked for before: beyond it load may be the cause
+constexpr double kCalmRate = 1.25;   // multiple of the work sent before: beyond it load may be the cause
 constexpr double kBesideLeast = 30;  // answers: so many of the earlier build beside, to call a build slow
 constexpr Seconds kSpan = 5;         // s: about a stage; spans in which a released build is judged
 constexpr double kEnoughBefore = 100;    // answers: an earlier build's share is known to about 3% then
@@ -145,8 +145,7 @@
     std::size_t most_ready = 1;           // the most pods ever listed as ready at once
     std::map<InvId, Invocation> open;
     std::deque<InvId> waiting;
-    Stretch served;
-    Stretch taken_all;
+    Stretch served, sent_all, taken_all;
     std::map<Customer, Stretch> taken_from;
     std::map<Customer, double> shares;   // told, where what is beyond them is worth less
     double share = 1;                    // of what is taken that is sent
@@ -405,7 +404,7 @@
         d.cold = pod.line.started > 0 && now - pod.line.started < kColdUncounted * warm_within;
         inv.dispatches.push_back(d);
         inv.waiting = false;
-        pod.sent.add(now, fall_window);
+        pod.sent.add(now, fall_window), sent_all.add(now, kRecent);
         if (on_trial(pod.line.build)) exposed[{pod.line.build, slot(inv.op)}].add(now, window);
         host.dispatch(id, pod.line.pod, inv.ends);
     }
@@ -533,7 +532,7 @@
             }
             fresh.clear(), earlier.clear(), finished.clear(), marks.clear();
             told_fresh.clear(), told_earlier.clear();
-            calm_times = earlier_times, calm = Count{}, calm_rate = taken_all.since(now - kRecent);
+            calm_times = earlier_times, calm = Count{}, calm_rate = sent_all.since(now - kRecent);
             for (const auto& [op, times] : calm_times)
                 for (const double took : times) calm = calm + Count{1, took > slow_line(times) ? 1.0 : 0.0};
         } else {
@@ -697,7 +696,9 @@
     void count_fleet(const Invocation& inv, const Dispatch& d, Seconds took) {
         if (!news || !d.warm || d.pod.build > judged || d.sent < news->began) return;
         if (!news->judged() || (news->phase == Phase::released && now > news->began + 2 * kSpan)) return;
-        if (taken_all.since(now - kRecent) > kCalmRate * calm_rate + std::sqrt(calm_rate)) return;
+        // Danger: clients that were throttled come back, and their tries look like more work. So the work is
+        // what was sent: more than before in a busier hour, less where the pods got slow of themselves.
+        if (sent_all.since(now - kRecent) > kCalmRate * calm_rate + std::sqrt(calm_rate)) return;
         const auto it = calm_times.find(inv.op);
         if (it == calm_times.end() || it->second.size() < part_each * kTimesLeast) return;
         Count& kept = fresh[kFleet][d.pod.pod];
