--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -36,13 +36,13 @@
 constexpr double kTallyFloor = 0.1;     // share: tallies count withdrawn and lost dispatches as failed
 constexpr double kCrudePart = 0.5;      // the same where chance alone gives one: flags, a slow fleet
 constexpr double kFleetFloor = 0.16;    // share: as for slowness, and more, since hours differ as well
-constexpr double kCalmRate = 1.25;   // multiple of the work sent before: beyond it load may be the cause
-constexpr double kBesideLeast = 30;  // answers: so many of the earlier build beside, to call a build slow
-constexpr Seconds kSpan = 5;         // s: about a stage; spans in which a released build is judged
-constexpr double kEnoughBefore = 100;    // answers: an earlier build's share is known to about 3% then
-constexpr Seconds kSameAge = 1;          // s: pods of one stage start about together; younger ones clear none
-constexpr double kOthersLeast = 10;      // answers: so many good ones of other pods clear a build of one's
-constexpr std::size_t kTimesKept = 64;   // answers an operation: enough for a steady median
+constexpr double kCalmRate = 1.25;      // multiple of the work sent before: beyond it load may be the cause
+constexpr double kBesideLeast = 30;     // answers: so many of the earlier build beside, to call a build slow
+constexpr Seconds kSpan = 5;            // s: about a stage; spans in which a released build is judged
+constexpr double kEnoughBefore = 100;   // answers: an earlier build's share is known to about 3% then
+constexpr Seconds kSameAge = 1;         // s: pods of one stage start about together; younger ones clear none
+constexpr double kOthersLeast = 10;     // answers: so many good ones of other pods clear a build of one's
+constexpr std::size_t kTimesKept = 64;  // answers an operation: enough for a steady median
 constexpr std::size_t kTimesLeast = 12;  // answers: fewer give no median to go by
 constexpr double kColdUncounted = 0.5;   // share of the warm-up: answers of a younger pod are no evidence
 // Votes.
@@ -537,10 +537,11 @@
                 for (const double took : times) calm = calm + Count{1, took > slow_line(times) ? 1.0 : 0.0};
         } else {
             // Danger: a score of 0 for want of failures speaks for the build as much as a z of 2 against it,
-            // and shields a late fault. So only stages that had a score enter the product.
+            // and shields a late fault. So only stages that had a score enter the product; and of what slows
+            // all pods in step with the traffic that it gets, a small first stage can't speak for the build.
             for (const auto& [charge, ratio] : current_ratios()) {
                 if (charge == kFlagged || evidence(charge).seen < kOthersLeast) continue;
-                if (score(charge) != 0) finished[charge] += ratio;
+                if (score(charge) != 0) finished[charge] += charge == kFleet ? std::max(0.0, ratio) : ratio;
                 earlier_before[charge] = earlier_before[charge] + earlier[charge];
                 fresh[charge].clear(), earlier[charge] = told_fresh[charge] = Count{};
             }
@@ -558,13 +559,15 @@
     static double slow_line(const LastFew<double>& times) { return kSlowTimes * quantile(times, 0.5); }
     // The half of the pods that has the least share of bad answers: a fault of some machines leaves it clean.
     // Where several back votes must agree it is more: with an answer a pod a half is only the luckiest.
-    Count calmer_half(const std::map<PodId, Count>& of_pods) const {
+    // Danger: held against all pods before, it hides what slows all. There it is the middle half.
+    Count calmer_half(const std::map<PodId, Count>& of_pods, bool middle) const {
         std::vector<Count> sorted;
         for (const auto& [pod, count] : of_pods) sorted.push_back(count);
         std::sort(sorted.begin(), sorted.end(), [](auto& a, auto& b) { return a.share() < b.share(); });
         Count half;
-        const double kept = std::ceil((1 - part_each / 2) * static_cast<double>(sorted.size()));
-        for (std::size_t i = 0; static_cast<double>(i) < kept; ++i) half = half + sorted[i];
+        const auto left_out = static_cast<std::size_t>(part_each / 2 * static_cast<double>(sorted.size()));
+        const std::size_t from = middle ? left_out / 2 : 0;
+        for (std::size_t i = from; i < sorted.size() - left_out + from; ++i) half = half + sorted[i];
         return half;
     }
     Seconds started(const PodId& pod) const {
@@ -586,8 +589,8 @@
             others = others + count;
             if (started(pod) <= started(worst->first) + kSameAge) as_old = as_old + count;
         }
-        if (charge == kSlowness) return fresh[charge].size() > 1 ? calmer_half(fresh[charge]) : Count{};
-        if (charge == kFleet) return calmer_half(fresh[charge]);
+        if (charge == kSlowness && fresh[charge].size() < 2) return {};
+        if (charge == kSlowness || charge == kFleet) return calmer_half(fresh[charge], charge == kFleet);
         return as_old.seen >= kOthersLeast && as_old.bad == 0 ? others : all;
     }
     // Where the earlier build gets too little in this stage to compare with, all that was seen of it counts.
@@ -689,15 +692,13 @@
         if (d.pod.build < judged || news->phase != Phase::trial) times.add(took);
     }
 
-    // Danger: a build that slows all pods, old and new, shows no difference between them. So the earlier
-    // build's answers during a stage are held against those before the trial: where even the calmer half of
-    // its pods got slow, with no more work asked for, the trial is the cause. Should also catch a build that
-    // eats what all share (a store, a link). Harms where a jam of other origin sets in during a trial.
+    // Danger: a build that slows all pods, old and new, shows no difference between them. So answers during
+    // a stage are held against those before the trial: where the middle half of the pods got slow, with no
+    // more work sent (throttled clients come back, so not: taken), the trial is the cause. Should also catch
+    // a build that eats what all share (a store, a link). Harms where another jam sets in during a trial.
     void count_fleet(const Invocation& inv, const Dispatch& d, Seconds took) {
         if (!news || !d.warm || d.pod.build > judged || d.sent < news->began) return;
         if (!news->judged() || (news->phase == Phase::released && now > news->began + 2 * kSpan)) return;
-        // Danger: clients that were throttled come back, and their tries look like more work. So the work is
-        // what was sent: more than before in a busier hour, less where the pods got slow of themselves.
         if (sent_all.since(now - kRecent) > kCalmRate * calm_rate + std::sqrt(calm_rate)) return;
         const auto it = calm_times.find(inv.op);
         if (it == calm_times.end() || it->second.size() < part_each * kTimesLeast) return;
@@ -875,9 +876,7 @@
     void begun(InvId id, DispatchNo no) {
         const auto it = open.find(id);
         if (it == open.end() || no.value < 0 || no.value > it->second.last_no().value) return;
-        Dispatch& d = it->second.dispatches[no.value];
-        d.streaming = true;
-        answered(pods[d.pod.pod]);
+        answered(pods[it->second.dispatches[no.value].pod.pod]);
     }
 
     // Danger: what waits for a connection goes out late; by then its pod may drain or have started anew, or
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -178,7 +178,7 @@
 
 void Clients::accept_some() {
     for (int i = 0; i < kAcceptsAPass || letting_go_; ++i) {
-        const bool room = owner_.room_for_one();
+        const bool room = owner_.room_for_client();
         const int fd = room ? ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC) : -1;
         if (fd >= 0) {
             const ClientNo no{links_.add(std::make_unique<Client>(*this))};
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -17,7 +17,7 @@
       public:
         virtual ~Owner() = default;
         virtual bool can_serve() = 0;
-        virtual bool room_for_one() = 0;  // another descriptor may be opened
+        virtual bool room_for_client() = 0;  // another descriptor may be opened
         // Nothing if the operation is unknown.
         virtual std::optional<InvId> admit(ClientNo client, std::string_view statement, std::size_t d_at,
                                            std::size_t d_size, std::string_view operation,
--- a/src/net/pods.cpp
+++ b/src/net/pods.cpp
@@ -196,7 +196,7 @@
     Connection& link = **links_.find(no);
     link.no = no;
     ++place.opening;
-    if (!owner_.room_for_one()) {
+    if (!owner_.room_for_connection()) {
         link.until = loop_.due.soon([this, no] { link_failed(no, Outcome::unreachable); });
         return;
     }
@@ -255,29 +255,42 @@
     links_.remove(no);
 }
 
+// Danger: while a dispatch waits its pod may begin to drain, or the cap may fall. The module is asked again; what
+// may no longer go ends as never run, told from the loop.
+void Pods::recall(Place& place) {
+    std::erase_if(place.waiting, [&](std::uint64_t number) {
+        const Errand& errand = *errands_.find(number);
+        if (errand.inv ? owner_.still_good(*errand.inv, errand.no) : place.listed) return false;
+        loop_.due.soon([this, number] {
+            if (errands_.find(number)) end(number, Outcome::moot);
+        });
+        return true;
+    });
+}
+
+void Pods::review() {
+    for (auto& [id, place] : places_) recall(place);
+}
+
 // A connection has come up, or its dispatch is through.
 void Pods::link_free(std::uint64_t no) {
     Connection& link = **links_.find(no);
-    Place& place = places_[link.pod];
+    const PodId pod = link.pod;
+    Place& place = places_[pod];
     if (link.until != Due::kNone) {  // it has just come up
         loop_.due.cancel(link.until);
         --place.opening;
     }
+    recall(place);
     if (link.times != place.times || !place.listed) {
         drop_link(no);
-        // Those that wait may have counted on it.
-        if (place.opening < static_cast<int>(place.waiting.size())) open_link(PodId(link.pod), place);
+        if (place.opening < static_cast<int>(place.waiting.size())) open_link(pod, place);
         return;
     }
-    while (!place.waiting.empty()) {
+    if (!place.waiting.empty()) {
         const std::uint64_t number = place.waiting.front();
         place.waiting.pop_front();
-        const Errand& errand = *errands_.find(number);
-        // Danger: while it waited its pod may have begun to drain, or the cap may have fallen.
-        if (!errand.inv || owner_.still_good(*errand.inv, errand.no)) return run(number, no);
-        loop_.due.soon([this, number] {
-            if (errands_.find(number)) end(number, Outcome::moot);
-        });
+        return run(number, no);
     }
     link.idle_since = clock_now();
     place.idle.push_back(no);
--- a/src/net/pods.hpp
+++ b/src/net/pods.hpp
@@ -18,7 +18,7 @@
     class Owner {
       public:
         virtual ~Owner() = default;
-        virtual bool room_for_one() = 0;
+        virtual bool room_for_connection() = 0;
         // The statement with the time that is left; nothing where it must no longer go.
         virtual std::string statement_for(InvId inv, Seconds stop_at) = 0;
         virtual bool still_good(InvId inv, DispatchNo no) = 0;
@@ -31,6 +31,7 @@
     ~Pods();
 
     void listed(ListKind kind, const std::vector<PodLine>& lines, const std::vector<Address>& addresses);
+    void review();  // asks again about what still waits for a connection
     // Both act at once and tell nothing before the loop's next turn.
     void dispatch(InvId inv, DispatchNo no, const PodId& pod, Seconds stop_at);
     void probe(const PodId& pod);
@@ -62,6 +63,7 @@
     void open_link(const PodId& pod, Place& place);
     void end(std::uint64_t errand, Outcome outcome, const Load& load = {}, std::string_view answer = {});
     void stop(std::uint64_t errand);
+    void recall(Place& place);
     void drop_link(std::uint64_t link);
     void link_free(std::uint64_t link);
     void link_failed(std::uint64_t link, Outcome outcome);
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -91,8 +91,9 @@
 
 // --- Clients
 // ------------------------------------------------------------------------------------------------
-bool Sidecar::room_for_one() {
-    while (loop_.watched() + kSocketsSpared >= sockets_)
+// Danger: in a jam clients open more and more connections; what they ask for needs descriptors too.
+bool Sidecar::room_below(std::size_t most) {
+    while (loop_.watched() + kSocketsSpared >= most)
         if (!pods_.shed_one() && !clients_.shed_one()) return false;
     return true;
 }
@@ -165,6 +166,7 @@
     ++lists_;
     pods_.listed(kind, lines, addresses);
     choice_->pods_listed(clock_now(), kind, lines);
+    pods_.review();
     if (listed_ || lines.empty()) return;
     listed_ = true;
     clients_.wake();
@@ -176,6 +178,7 @@
 }
 void Sidecar::stage_told(Build build, Stage stage, Phase phase, double cap, Seconds age) {
     choice_->stage_told(clock_now(), build, stage, phase, cap, age);
+    pods_.review();
 }
 void Sidecar::answer_flagged(const std::string& operation, const PodId& pod, Seconds sent_ago) {
     const auto op = operations_.find(operation);
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -47,13 +47,14 @@
     void note(const std::string& text) override { log_.line("{}", text); }
     // Clients::Owner
     bool can_serve() override { return listed_; }
-    bool room_for_one() override;
+    bool room_for_client() override { return room_below(sockets_ - sockets_ / kSocketsForPods); }
     std::optional<InvId> admit(ClientNo client, std::string_view statement, std::size_t d_at,
                                std::size_t d_size, std::string_view operation, std::string_view customer,
                                std::string_view record, Seconds budget) override;
     void taken(InvId inv) override;
     void client_went(InvId inv) override;
     // Pods::Owner
+    bool room_for_connection() override { return room_below(sockets_); }
     std::string statement_for(InvId inv, Seconds stop_at) override;
     bool still_good(InvId inv, DispatchNo no) override;
     void dispatch_ended(InvId inv, DispatchNo no, const PodId& pod, Outcome outcome, Seconds took,
@@ -69,6 +70,7 @@
     void vote_answered(VoteReply reply) override;
     void platform_said(const std::string& what) override { log_.line("platform: {}", what); }
 
+    bool room_below(std::size_t most);
     void conclude(InvId inv, std::string_view answer);
     void settle(InvId inv);  // forgotten once concluded with nothing out
     void report_later();
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -16,7 +16,7 @@
 struct Dispatch {
     PodLine pod;  // as listed when it was sent
     Seconds sent = 0;
-    bool cold = false, warm = true, ended = false, may_have_run = true, streaming = false, recalled = false;
+    bool cold = false, warm = true, ended = false, may_have_run = true, recalled = false;
 };
 
 struct Invocation {
--- a/tests/plain.cpp
+++ b/tests/plain.cpp
@@ -265,6 +265,60 @@
     CHECK(s.host.noted("slows all pods") == !busier);
 }
 
+TEST_CASE("throttled clients that come back do not hide a build that slows all pods") {
+    Sidecar s;
+    s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1), pod("b", 1), pod("c", 1)});
+    s.choice.stage_told(s.now, Build{1}, Stage{0}, Phase::released, 1, 10);
+    const auto well = [](const PodId&) { return Outcome::succeeded; };
+    for (int i = 0; i < 120; ++i) s.serve(well, 0, 0.1), s.run(0.05);
+    s.choice.stage_told(s.now, Build{2}, Stage{0}, Phase::trial, 0.1, 0);
+    std::deque<std::pair<Seconds, Sent>> out;
+    std::size_t seen = s.host.sent.size();
+    for (int i = 0; i < 200; ++i) {  // three times as many are taken, but few of them sent
+        for (int k = 0; k < 3; ++k) s.take();
+        for (; seen < s.host.sent.size(); ++seen) out.push_back({s.now + 0.9, s.host.sent[seen]});
+        for (; !out.empty() && out.front().first <= s.now; out.pop_front())
+            s.end(out.front().second, Outcome::succeeded, 0, 0.9);
+        s.run(0.05);
+    }
+    CHECK(s.host.throttled.size() > 200);
+    CHECK(s.host.noted("slows all pods"));
+}
+
+TEST_CASE("a dispatch that waited for a connection is recalled when it may no longer go, and placed again") {
+    Sidecar s;
+    s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1), pod("b", 1)});
+    s.choice.stage_told(s.now, Build{1}, Stage{0}, Phase::released, 1, 10);
+    const InvId inv = s.take();
+    const Sent first = s.host.sent.back();
+    CHECK(s.choice.still_good(s.now, inv, DispatchNo{0}));
+    PodLine line = pod(first.pod.value, 1);
+    bool good = false, gone = false;
+    SECTION("its pod drains") { line.state = PodState::draining; }
+    SECTION("its pod started anew") { line.started = s.now; }
+    SECTION("its pod has another build") { line.build = Build{2}; }
+    SECTION("the client has gone") { s.choice.invocation_dropped(s.now, inv), gone = true; }
+    SECTION("nothing of it has changed") { good = true; }
+    s.choice.pods_listed(s.now, ListKind::changes, {line});
+    REQUIRE(s.choice.still_good(s.now, inv, DispatchNo{0}) == good);
+    if (good) return;
+    s.end(first, Outcome::moot);
+    CHECK(s.host.sent.size() == (gone ? 1 : 2));
+    if (!gone) CHECK(s.host.sent.back().pod != first.pod);
+}
+
+TEST_CASE("what waits for a connection while its build's cap falls is recalled") {
+    Sidecar s;
+    s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 2)});
+    s.choice.stage_told(s.now, Build{2}, Stage{1}, Phase::trial, 1, 10);
+    s.run(4);
+    const InvId inv = s.take();
+    CHECK(s.choice.still_good(s.now, inv, DispatchNo{0}));
+    s.run(0.1);
+    s.choice.stage_told(s.now, Build{2}, Stage{0}, Phase::trial, 0.1, 0);
+    CHECK_FALSE(s.choice.still_good(s.now, inv, DispatchNo{0}));
+}
+
 TEST_CASE("slowness is no evidence under pressure, and less where one vote decides for many sidecars") {
     const bool pressed = GENERATE(false, true), many = GENERATE(false, true);
     Terms terms = basic_terms();
