--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -36,6 +36,7 @@
             });
     }
     bool idle() { return !inv_ && !ending_ && in_.empty() && all_written() && !heard_end(); }
+    bool busy() const { return inv_.has_value(); }
     bool fresh() const { return !started_; }
     void end() {
         if (ending_) return;
@@ -219,14 +220,14 @@
 }
 
 // Danger: a connection that waits to be accepted may hold an invocation; all of them are taken in first.
-void Clients::let_go() {
+void Clients::let_go(bool stalled) {
     if (!letting_go_) {
         letting_go_ = true;
         accept_some();
         stop_listening();
     }
-    links_.each([](std::uint64_t, auto& link) {
-        if (link->idle()) link->end();
+    links_.each([stalled](std::uint64_t, auto& link) {
+        if (link->idle() || (stalled && !link->busy())) link->end();
     });
 }
 
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -33,7 +33,8 @@
     void answer(ClientNo client, std::string_view bytes);  // a whole answer, before ReadyForQuery
     void wake();                                           // what waited until this sidecar can serve
     bool shed_one();  // ends a connection that is between two invocations
-    void let_go();    // no more are accepted; each ends once it is between two invocations
+    // No more are accepted; each ends once it is between two invocations, or has none if `stalled` too.
+    void let_go(bool stalled);
     std::size_t size() const { return links_.size(); }
     void ready(short events) override;
 
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -17,7 +17,7 @@
 constexpr std::size_t kChunkLineMost = 256;       // bytes: the line that tells a chunk's size
 constexpr std::size_t kLineMost = 4 * 1024 * 1024;  // bytes: one line of JSON; a list of 10,000 pods fits
 constexpr std::size_t kLogHeld = 256 * 1024;  // bytes: log lines that wait for a slow reader; then dropped
-constexpr int kSocketsForPods = 8;                  // of so many descriptors one is kept from clients for pods
+constexpr int kSocketsForPods = 8;            // of so many descriptors one is kept from clients for pods
 constexpr int kBacklog = 1024;         // connections that wait to be accepted, as others come in bursts
 constexpr int kSocketsSpared = 24;     // descriptors: list, platform, log, and what opens in one pass
 constexpr int kAcceptsAPass = 64;      // connections: so that accepting can't hold up answers
@@ -31,6 +31,7 @@
 constexpr Seconds kWriteRoom = 0.01;   // s: kept of each time limit for the answer's way out
 constexpr Seconds kLinger = 0.5;       // s: an ended connection may still take in the last answer
 constexpr Seconds kLetGoAfter = 0.45;  // s: after SIGTERM clients still come for up to 0.4 s
+constexpr Seconds kStalled = 1;        // s: after that, half a query is no longer waited for
 constexpr Seconds kReportEvery = 10;   // s: a log line with peaks and counts
 
 }  // namespace tideline::net
--- a/src/net/pods.cpp
+++ b/src/net/pods.cpp
@@ -255,8 +255,8 @@
     links_.remove(no);
 }
 
-// Danger: while a dispatch waits its pod may begin to drain, or the cap may fall. The module is asked again; what
-// may no longer go ends as never run, told from the loop.
+// Danger: while a dispatch waits its pod may begin to drain, or the cap may fall. The module is asked again;
+// what may no longer go ends as never run, told from the loop.
 void Pods::recall(Place& place) {
     std::erase_if(place.waiting, [&](std::uint64_t number) {
         const Errand& errand = *errands_.find(number);
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -47,6 +47,8 @@
       pods_(loop, *this, slip.need("allowed.connect_time"), slip.need("allowed.keep_idle")),
       list_(loop, *this, terms_, slip.list, slip.known),
       platform_(loop, *this, slip.platform, slip.need("release.vote_wait"), slip.seed) {
+    if (const auto it = terms_.find("allowed.overlap"); it != terms_.end())
+        overlap_ = it->second != Term{0.0};
     if (operations_.empty()) throw std::runtime_error("missing term: operations.0.name");
     choice_ = std::make_unique<Choice>(*this, terms_, slip.seed, clock_now());
     list_.read(slip.known, true);
@@ -64,7 +66,7 @@
 void Sidecar::dispatch(InvId inv, const PodId& pod, Seconds stop_at) {
     Held* held = held_.find(inv.value);
     if (!must(held && !held->concluded, "no dispatch after the answer")) return;
-    must(held->out == 0 || terms_.contains("allowed.overlap"), "dispatches out together only where allowed");
+    must(held->out == 0 || overlap_, "dispatches are out together only where allowed");
     const DispatchNo no{held->dispatches++};
     ++held->out;
     pods_.dispatch(inv, no, pod, std::min(stop_at, held->ends));
@@ -73,6 +75,7 @@
     Held* held = held_.find(inv.value);
     if (!must(held && !held->concluded, "one answer an invocation")) return;
     held->concluded = true;
+    late_ += clock_now() > held->ends + kWriteRoom;
     clients_.answer(held->client, answer);
     settle(inv);
 }
@@ -189,8 +192,9 @@
 // --- The end, and what is told of this sidecar
 // ----------------------------------------------------------------
 void Sidecar::let_go() {
+    if (!letting_go_) let_go_since_ = clock_now();
     letting_go_ = true;
-    clients_.let_go();
+    clients_.let_go(clock_now() > let_go_since_ + kStalled);
     loop_.due.at(clock_now() + kLinger / 10, [this] { let_go(); });
 }
 void Sidecar::report_later() {
@@ -204,12 +208,13 @@
     ::getrusage(RUSAGE_SELF, &used);
     const auto count = [&](Outcome outcome) { return outcomes_[outcome]; };
     log_.line(
-        "taken {} held {} (peak {}) throttled {} terminated {} gone {}; ended: succeeded {} failed {} full "
+        "taken {} held {} (peak {}) throttled {} terminated {} late {} gone {}; ended: succeeded {} failed "
+        "{} full "
         "{} "
         "timed out {} unreachable {} broken {} moot {}, recalled {}; lists {} lost {}; clients {} pod "
         "connections "
         "{} descriptors peak {} memory peak {} MB CPU {:.1f} s",
-        taken_, held_.size(), held_peak_, throttled_, terminated_, went_, count(Outcome::succeeded),
+        taken_, held_.size(), held_peak_, throttled_, terminated_, late_, went_, count(Outcome::succeeded),
         count(Outcome::failed), count(Outcome::full), count(Outcome::timed_out), count(Outcome::unreachable),
         count(Outcome::broken), count(Outcome::moot), recalled_, lists_, lost_, clients_.size(),
         pods_.connections(), loop_.peak() + 4, used.ru_maxrss / 1024,
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -19,8 +19,8 @@
   public:
     Sidecar(Loop& loop, Log& log, const Slip& slip);
     ~Sidecar() override;
-    void let_go();  // after SIGTERM
-    bool done() const { return letting_go_ && clients_.size() == 0 && held_.size() == 0; }
+    void let_go();                                                     // after SIGTERM
+    bool done() const { return letting_go_ && clients_.size() == 0; }  // what is held has a client that waits
     void report();
 
   private:
@@ -87,10 +87,12 @@
     List list_;
     Platform platform_;
     std::unique_ptr<Choice> choice_;
-    bool listed_ = false, letting_go_ = false;
+    bool listed_ = false, letting_go_ = false, overlap_ = false;
+    Seconds let_go_since_ = 0;
     Due::Key report_ = Due::kNone;
     std::map<Outcome, long> outcomes_;
-    long taken_ = 0, throttled_ = 0, terminated_ = 0, went_ = 0, recalled_ = 0, lists_ = 0, lost_ = 0;
+    long taken_ = 0, throttled_ = 0, terminated_ = 0, late_ = 0, went_ = 0, recalled_ = 0, lists_ = 0,
+         lost_ = 0;
     std::size_t held_peak_ = 0;
 };
 
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -633,7 +633,8 @@
 TEST_CASE("SIGTERM: serves on while clients still come, answers all it took, then ends with 0") {
     Rig rig(1);
     rig.begin();
-    Peer busy = rig.client(), idle = rig.client();
+    Peer busy = rig.client(), idle = rig.client(), half = rig.client();
+    half.send(invocation().substr(0, 20));  // never whole, so never taken
     busy.send(invocation());
     Peer pod = rig.pod();
     REQUIRE(pod.message().first == 'Q');
