Each stage speaks for itself where a build slows all pods

Ruled out: the middle half alone (z under 2.7 marks nothing). Now nothing of this charge is carried to the next stage.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -537,11 +537,11 @@
                 for (const double took : times) calm = calm + Count{1, took > slow_line(times) ? 1.0 : 0.0};
         } else {
             // Danger: a score of 0 for want of failures speaks for the build as much as a z of 2 against it,
-            // and shields a late fault. So only stages that had a score enter the product; and of what slows
-            // all pods in step with the traffic that it gets, a small first stage can't speak for the build.
+            // and shields a late fault. So only stages that had a score enter the product; and what slows all
+            // pods does so in step with the traffic that it gets: each stage speaks for itself.
             for (const auto& [charge, ratio] : current_ratios()) {
                 if (charge == kFlagged || evidence(charge).seen < kOthersLeast) continue;
-                if (score(charge) != 0) finished[charge] += charge == kFleet ? std::max(0.0, ratio) : ratio;
+                if (score(charge) != 0 && charge != kFleet) finished[charge] += ratio;
                 earlier_before[charge] = earlier_before[charge] + earlier[charge];
                 fresh[charge].clear(), earlier[charge] = told_fresh[charge] = Count{};
             }
