Flags are held against all that was seen of the builds before

Cause: judged_released was never set, so the answers of the build released before were never carried over (open_stage); flags were held against the few hundred answers of the trial's own time. Now all answers of builds that were accepted count for flags; other charges keep what they had, their values were set without it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -523,13 +523,12 @@
     // --- The judge --------------------------------------------------------------------------------------
     void open_stage(bool new_build) {
         if (new_build) {
-            // The build released before is the one to compare with; of one that went back nothing is kept.
-            for (auto& [charge, of_pods] : fresh) {
-                if (!judged_released) continue;
-                earlier_before[charge] = Count{};
-                for (const auto& [pod, count] : of_pods)
-                    earlier_before[charge] = earlier_before[charge] + count;
-            }
+            // Flags are thin: all seen of the builds before is kept to compare with, but for one that went
+            // back.
+            Count& before_all = earlier_before[kFlagged];
+            before_all = before_all + earlier[kFlagged];
+            for (const auto& [pod, count] : fresh[kFlagged])
+                if (judged_released) before_all = before_all + count;
             fresh.clear(), earlier.clear(), finished.clear(), marks.clear();
             told_fresh.clear(), told_earlier.clear();
             calm_times = earlier_times, calm = Count{}, calm_rate = sent_all.since(now - kRecent);
@@ -931,6 +930,7 @@
             open_stage(true);
         else if (build == judged && stage > judged_stage)
             open_stage(false);
+        judged_released = build == judged && phase == Phase::released;
         serve_waiting();
     }
 
