--- a/tests/plain.cpp
+++ b/tests/plain.cpp
@@ -184,6 +184,21 @@
     CHECK_FALSE(s.host.noted("marked"));
 }
 
+TEST_CASE("flags are held against all that was seen of the builds before") {
+    const bool seen_before = GENERATE(true, false);
+    Sidecar s;
+    s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1), pod("b", 1)});
+    s.choice.stage_told(s.now, Build{1}, Stage{0}, Phase::released, 1, 10);
+    const auto well = [](const PodId&) { return Outcome::succeeded; };
+    for (int i = 0; seen_before && i < 600; ++i) s.serve(well), s.run(0.02);
+    s.choice.pods_listed(s.now, ListKind::changes, {pod("c", 2)});
+    s.choice.stage_told(s.now, Build{2}, Stage{0}, Phase::trial, 0.5, 0);
+    while (s.sent_to("c") < 200) s.serve(well), s.run(0.02);
+    for (int i = 0; i < 5; ++i) s.choice.answer_flagged(s.now, Operation{0}, PodId{"c"}, 0);
+    s.run(1.1);  // 5 of 200 against 0 of some 200 tell little, against 0 of 800 enough
+    CHECK(s.host.noted("answers flagged") == seen_before);
+}
+
 TEST_CASE("a lost list is asked for again, and the whole of it after a second loss") {
     Terms terms = basic_terms();
     terms["list.told"] = std::string("asked");
