--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -639,7 +639,7 @@
     Peer pod = rig.pod();
     REQUIRE(pod.message().first == 'Q');
     rig.signal(SIGTERM);
-    rest(0.2);
+    rest(0.05);
     Peer late = rig.client();
     idle.send(invocation());
     Peer second = rig.pod();
