--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -831,10 +831,11 @@
                 ratios.add(took / std::max(1e-6, cover.shortest()));
                 if (pod.answers.add(took / std::max(1e-6, cover.shortest()))) set_limit(pod);
                 served.add(now, kCarriedOver + fall_window);
-                if (one_way && inv.key && on_trial_or_newest(d.pod.build))
+                if (one_way && inv.key && (on_trial(d.pod.build) || named(d.pod.build)))
                     answered_by[*inv.key] = d.pod.build;
                 break;
             case Outcome::failed:
+            case Outcome::spoilt:
                 // Danger: a pod that fails everything at once looks idle and draws all work to it. Several
                 // failures in a row are the machine's: it rests. A build that fails a part hardly does that.
                 pod.last_answer = now;
@@ -870,7 +871,6 @@
             place(id, inv);
         serve_waiting();
     }
-    bool on_trial_or_newest(Build build) const { return on_trial(build) || named(build); }
 
     void begun(InvId id, DispatchNo no) {
         const auto it = open.find(id);
--- a/src/net/call.hpp
+++ b/src/net/call.hpp
@@ -19,6 +19,7 @@
         std::function<void(const std::string& why)> lost;  // before that
     };
     Call(Loop& loop, Address address);
+    void move(Address address) { address_ = address; }  // the next one begins there
     ~Call();
     // Ends the one before. `silence` is the longest allowed, `first` that before the first line.
     void begin(const std::string& path, Seconds first, Seconds silence, Told told);
@@ -30,7 +31,7 @@
     class Stream;
     void lose(const std::string& why);
     Loop& loop_;
-    const Address address_;
+    Address address_;
     std::unique_ptr<Stream> link_;
     bool spoke_ = false;
     Told told_;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -14,63 +14,120 @@
 
 class Clients::Client : public Link {
   public:
-    explicit Client(Clients& all) : Link(all.loop_), all_(all) {}
+    explicit Client(Clients& all) : Link(all.loop_, kMessageMost + kRingFirst), all_(all) {}
     ~Client() override {
-        loop_.due.cancel(linger_);
+        loop_.due.cancel(limit_);
         loop_.due.cancel(going_on_);
     }
-    ClientNo no;
-
+    void begin(ClientNo no, int fd) {
+        no_ = no;
+        adopt(fd);
+        turn();
+    }
     void answer(std::string_view bytes) {
         if (!must(inv_.has_value(), "an answer has a client that waits for it")) return;
         inv_.reset();
         put(std::string(bytes) + pg::ready());
+        turn();
         go_on();
     }
-    // Danger: an answer is given in the module's own call; the next query may not be read inside it.
-    void go_on() {
+    // Danger: an answer is given in the module's own call; the next query may not be read inside it. Nor may
+    // a client that sends hundreds of commands at once hold up the others.
+    void go_on(Seconds after = 0) {
         if (going_on_ == Due::kNone)
-            going_on_ = loop_.due.soon([this] {
+            going_on_ = loop_.due.at(after > 0 ? clock_now() + after : 0, [this] {
                 going_on_ = Due::kNone;
                 look_again();
             });
     }
     bool idle() { return !inv_ && !ending_ && in_.empty() && all_written() && !heard_end(); }
     bool busy() const { return inv_.has_value(); }
-    bool fresh() const { return !started_; }
+    std::size_t part() const { return in_.room() > kRingFirst && !inv_ ? in_.room() : 0; }
     void end() {
-        if (ending_) return;
-        ending_ = true;
+        if (std::exchange(ending_, true)) return;
         finish();
-        linger_ = loop_.due.at(clock_now() + kLinger, [this] {
-            linger_ = Due::kNone;
-            all_.remove(no);
-        });
+        turn();
+    }
+    void cut_off() {
+        fatal("53200", "too much is begun and not ended");
+        in_.drop(in_.size());
+    }
+    void fatal(std::string_view code, std::string_view text) {
+        if (ending_) return;
+        put(pg::error("FATAL", code, text));
+        hear_no_more();
+        refused_ = true;
+        end();
     }
 
   protected:
     void came_in() override {
-        while (!ending_ && !inv_ && !closed() && !in_.empty())
+        for (int i = 0; !ending_ && !inv_ && !closed() && !in_.empty() && all_written(); ++i) {
+            if (i == kMessagesAPass) {
+                go_on(kNextPass);
+                break;
+            }
             if (!(started_ ? read_message() : read_startup())) break;
+            mood_ = Mood::none;  // what it has now begun has its own time
+        }
         if (ending_) in_.drop(in_.size());
+        turn();
+        all_.count_parts(no_);
         if (all_.letting_go_ && !closed() && idle()) end();
     }
+    void went_out() override {
+        if (!in_.empty() && !inv_) go_on();
+        if (!ending_) turn();
+    }
     void ended() override {
         if (inv_) {
             const InvId inv = *inv_;
             inv_.reset();
             all_.owner_.client_went(inv);
         }
-        all_.remove(no);
+        all_.remove(no_);
     }
 
   private:
-    void fatal(std::string_view code, std::string_view text) {
-        put(pg::error("FATAL", code, text));
-        end();
+    enum class Mood { none, fresh, part, idle, busy, held_back, unread, ending };
+    // What it does just now decides how long it may go on so, and whether it is in the way of others.
+    // Danger: one that says nothing, or half of something, would hold its descriptor and memory for good.
+    void turn() {
+        if (closed()) return;
+        in_.bound(inv_ ? kRingFirst : kMessageMost + kRingFirst);  // what is sent meanwhile can wait
+        const bool part = !in_.empty();
+        const Mood mood = ending_          ? Mood::ending
+                          : inv_           ? Mood::busy
+                          : !all_written() ? Mood::unread
+                          : holds_back_    ? Mood::held_back
+                          : !started_      ? Mood::fresh
+                          : part           ? Mood::part
+                                           : Mood::idle;
+        if (mood == mood_) return;
+        mood_ = mood;
+        loop_.due.cancel(limit_);
+        const bool silent = mood == Mood::fresh || mood == Mood::ending;
+        all_.stand(no_, silent               ? Use::none
+                        : mood == Mood::part ? Use::half
+                        : mood == Mood::idle ? Use::spare
+                                             : Use::needed);
+        if (mood == Mood::fresh)
+            over_after(kGreetWithin, "no startup message");
+        else if (mood == Mood::part)
+            over_after(kWholeWithin, "half a message");
+        else if (mood == Mood::unread)
+            over_after(kTakenWithin, "answers not taken");
+        else if (mood == Mood::ending)
+            limit_ = loop_.due.at(clock_now() + (refused_ ? kFarewell : kLinger), [this] {
+                limit_ = Due::kNone;
+                all_.remove(no_);
+            });
     }
-    void refuse_query(std::string_view code, std::string_view text) {
-        put(pg::error("ERROR", code, text) + pg::ready());
+    void over_after(Seconds span, const char* why) {
+        limit_ = loop_.due.at(clock_now() + span, [this, why] {
+            limit_ = Due::kNone;
+            fatal("08P01", why);
+        });
     }
     bool read_startup() {
         std::uint32_t code = 0;
@@ -88,7 +145,10 @@
         const std::uint32_t minor = code & 0xffff;
         in_.drop(whole);
         if (code == pg::kSslRequest || code == pg::kGssRequest) {
-            put("N");
+            if (++asides_ > kAsideMost)
+                fatal("08P01", "encryption is not spoken here");
+            else
+                put("N");
         } else if (code == pg::kCancelRequest) {
             end();  // never answered; there is nothing to cancel
         } else if (code >> 16 != pg::kMajor) {
@@ -100,10 +160,16 @@
         }
         return true;
     }
+    // Danger: who sends what can't be read sends it again as soon as it is turned away. So the connection
+    // ends with the error, and by the first bytes that show it.
     bool read_message() {
         char type = 0;
         std::string_view body;
         std::size_t whole = 0;
+        if (const char first = in_.all()[0]; first != 'Q' && first != 'X') {
+            fatal("08P01", "only simple queries are spoken here");
+            return false;
+        }
         switch (pg::next(in_.all(), kMessageMost, type, body, whole)) {
             case pg::Read::more:
                 return false;
@@ -115,12 +181,11 @@
         }
         if (type == 'X') {
             end();
-        } else if (type != 'Q') {
-            fatal("08P01", "only simple queries are spoken here");
-        } else if (body.empty() || body.back() != '\0') {
+        } else if (!pg::one_text(body)) {
             fatal("08P01", "a query without its end");
         } else if (body.find_first_not_of(" \t\r\n;") == body.size() - 1) {
-            if (!all_.owner_.can_serve()) return false;  // waits until it can be kept
+            holds_back_ = !all_.owner_.can_serve();  // waits until it can be kept
+            if (holds_back_) return false;
             put(pg::empty_answer());
         } else {
             body.remove_suffix(1);
@@ -140,21 +205,24 @@
         });
         double ms = 0;
         const auto read = std::from_chars(budget.data(), budget.data() + budget.size(), ms);
-        if (!form || id.empty() || op.empty())
-            return refuse_query("42601", "not an invocation of this service");
+        if (!form || id.empty() || op.empty()) return fatal("42601", "not an invocation of this service");
         if (budget.empty() || read.ec != std::errc{} || read.ptr != budget.data() + budget.size() ||
             !std::isfinite(ms) || ms < 0)
-            return refuse_query("22023", "d is not a number of milliseconds");
+            return fatal("22023", "d is not a number of milliseconds");
         const auto at = static_cast<std::size_t>(budget.data() - text.data());
-        inv_ = all_.owner_.admit(no, text, at, budget.size(), op, customer, record, ms * 1e-3);
-        if (!inv_) return refuse_query("22023", "unknown operation");
+        inv_ = all_.owner_.admit(no_, id, text, at, budget.size(), op, customer, record, ms * 1e-3);
+        if (!inv_) return fatal("22023", "unknown operation, or an id that is in use");
         all_.owner_.taken(*inv_);
     }
 
     Clients& all_;
     std::optional<InvId> inv_;  // the one that waits for its answer
-    bool started_ = false, ending_ = false;
-    Due::Key linger_ = Due::kNone, going_on_ = Due::kNone;
+    ClientNo no_;
+    bool started_ = false, ending_ = false, refused_ = false;
+    bool holds_back_ = false;  // its query waits until this sidecar can serve
+    int asides_ = 0;
+    Mood mood_ = Mood::none;
+    Due::Key limit_ = Due::kNone, going_on_ = Due::kNone;
 };
 
 Clients::Clients(Loop& loop, Owner& owner) : loop_(loop), owner_(owner) {}
@@ -183,9 +251,7 @@
         const int fd = room ? ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC) : -1;
         if (fd >= 0) {
             const ClientNo no{links_.add(std::make_unique<Client>(*this))};
-            Client& client = **links_.find(no.value);
-            client.no = no;
-            client.adopt(fd);
+            (*links_.find(no.value))->begin(no, fd);
             continue;
         }
         if (room && (errno == EINTR || errno == ECONNABORTED)) continue;
@@ -209,16 +275,42 @@
     links_.each([](std::uint64_t, auto& link) { link->go_on(); });
 }
 
-bool Clients::shed_one() {
-    bool shed = false;
-    links_.each([&](std::uint64_t no, auto& link) {
-        if (shed || link->fresh() || !link->idle()) return;
-        shed = true;
-        remove(ClientNo{no});
-    });
-    return shed;
+// Danger: hundreds of statements of the largest size, each but for its last byte, are more than the memory.
+void Clients::count_parts(ClientNo no) {
+    if (auto* link = links_.find(no.value)) {
+        parts_ += (*link)->part() - parts_of_[no.value];
+        parts_of_[no.value] = (*link)->part();
+    }
+    while (parts_ > kPartsMost) {
+        std::uint64_t longest = 0;
+        for (const auto& [each, part] : parts_of_)
+            if (part > 0 && (longest == 0 || stands_[each].second < stands_[longest].second)) longest = each;
+        parts_ -= std::exchange(parts_of_[longest], 0);
+        (*links_.find(longest))->cut_off();
+    }
+}
+
+void Clients::stand(ClientNo no, Use use) {
+    const auto it = stands_.find(no.value);
+    if (it != stands_.end()) standing_.erase({it->second.first, it->second.second, no.value});
+    stands_[no.value] = {use, clock_now()};
+    if (use != Use::needed) standing_.insert({use, stands_[no.value].second, no.value});
 }
 
+// Danger: clients that say nothing, or that asked once and hold on, would keep all others out. Those in
+// the way for longest go first: such as say nothing or half of something, then such as are idle.
+bool Clients::shed_one(Seconds idle_for) {
+    for (auto it = standing_.begin(); it != standing_.end(); ++it) {
+        const auto [use, since, no] = *it;
+        const Seconds least = use == Use::none ? kSettled : use == Use::half ? kWholeWithin / 4 : idle_for;
+        if (clock_now() - since < least) continue;
+        auto& link = *links_.find(no);
+        if (use == Use::spare && !link->idle()) continue;
+        remove(ClientNo{no});
+        return true;
+    }
+    return false;
+}
 // Danger: a connection that waits to be accepted may hold an invocation; all of them are taken in first.
 void Clients::let_go(bool stalled) {
     if (!letting_go_) {
@@ -234,6 +326,10 @@
 void Clients::remove(ClientNo no) {
     auto* link = links_.find(no.value);
     if (!link) return;
+    stand(no, Use::needed);
+    stands_.erase(no.value);
+    parts_ -= parts_of_[no.value];
+    parts_of_.erase(no.value);
     (*link)->close();
     loop_.bury(std::move(*link));
     links_.remove(no.value);
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -1,8 +1,11 @@
 // Clients: takes them in, reads their queries one at a time, writes their answers.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <tuple>
 
 #include "net/link.hpp"
 #include "net/slots.hpp"
@@ -18,9 +21,9 @@
         virtual ~Owner() = default;
         virtual bool can_serve() = 0;
         virtual bool room_for_client() = 0;  // another descriptor may be opened
-        // Nothing if the operation is unknown.
-        virtual std::optional<InvId> admit(ClientNo client, std::string_view statement, std::size_t d_at,
-                                           std::size_t d_size, std::string_view operation,
+        // Nothing if the operation is unknown, or another invocation of that id is open.
+        virtual std::optional<InvId> admit(ClientNo client, std::string_view id, std::string_view statement,
+                                           std::size_t d_at, std::size_t d_size, std::string_view operation,
                                            std::string_view customer, std::string_view record,
                                            Seconds budget) = 0;
         virtual void taken(InvId inv) = 0;
@@ -32,7 +35,8 @@
     bool listen(const Address& address);
     void answer(ClientNo client, std::string_view bytes);  // a whole answer, before ReadyForQuery
     void wake();                                           // what waited until this sidecar can serve
-    bool shed_one();  // ends a connection that is between two invocations
+    // Ends a connection that is of no use, or has been between two invocations for so long.
+    bool shed_one(Seconds idle_for);
     // No more are accepted; each ends once it is between two invocations, or has none if `stalled` too.
     void let_go(bool stalled);
     std::size_t size() const { return links_.size(); }
@@ -40,12 +44,19 @@
 
   private:
     class Client;
+    enum class Use { none, half, spare, needed };
+    void stand(ClientNo no, Use use);
+    void count_parts(ClientNo no);
     void remove(ClientNo no);
     void accept_some();
     void stop_listening();
     Loop& loop_;
     Owner& owner_;
     Slots<std::unique_ptr<Client>> links_;
+    std::map<std::uint64_t, std::pair<Use, Seconds>> stands_;     // by number; since when
+    std::set<std::tuple<Use, Seconds, std::uint64_t>> standing_;  // those that can be let go, in that order
+    std::map<std::uint64_t, std::size_t> parts_of_;
+    std::size_t parts_ = 0;  // bytes held of statements that are not yet whole
     int fd_ = -1;
     bool letting_go_ = false;
     Due::Key again_ = Due::kNone;
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -113,11 +113,12 @@
     }
     if (out_.empty() && finished_) ::shutdown(fd_, SHUT_WR);
     set_wants();
+    if (out_.empty()) went_out();
 }
 
 void Link::set_wants() {
     if (fd_ < 0 || over_) return;
-    loop_.want(fd_, static_cast<short>((in_.full() ? 0 : POLLIN) | (out_.empty() ? 0 : POLLOUT)));
+    loop_.want(fd_, static_cast<short>((deaf_ || in_.full() ? 0 : POLLIN) | (out_.empty() ? 0 : POLLOUT)));
 }
 
 void Link::look_again() {
@@ -125,6 +126,11 @@
     set_wants();
 }
 
+void Link::hear_no_more() {
+    deaf_ = true;
+    set_wants();
+}
+
 bool Link::heard_end() {
     char byte;
     const ssize_t got = ::recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -132,8 +138,10 @@
 }
 
 void Link::read_in() {
-    bool end = false, some = false;
-    while (!in_.full()) {
+    bool end = false;
+    std::size_t some = 0;
+    // Danger: a peer that sends at full speed holds up all others; the rest is read in the next pass.
+    while (!in_.full() && some < kReadAPass) {
         const auto to = in_.space();
         const ssize_t got = ::recv(fd_, to.data(), to.size(), 0);
         if (got < 0 && errno == EINTR) continue;
@@ -143,9 +151,9 @@
             break;
         }
         in_.filled(static_cast<std::size_t>(got));
-        some = true;
+        some += static_cast<std::size_t>(got);
     }
-    if (some) came_in();
+    if (some > 0) came_in();
     if (fd_ < 0) return;
     if (end)
         broke();
@@ -167,7 +175,9 @@
         return;
     }
     if (events & POLLOUT) write_out();
-    if (!over_ && fd_ >= 0 && (events & (POLLIN | POLLHUP | POLLERR))) read_in();
+    if (over_ || fd_ < 0) return;
+    if (deaf_ && (events & (POLLHUP | POLLERR))) return broke();
+    if (!deaf_ && (events & (POLLIN | POLLHUP | POLLERR))) read_in();
 }
 
 }  // namespace tideline::net
--- a/src/net/link.hpp
+++ b/src/net/link.hpp
@@ -21,7 +21,7 @@
 
 class Link : public Watcher {
   public:
-    explicit Link(Loop& loop) : loop_(loop) {}
+    explicit Link(Loop& loop, std::size_t in_most = kRingMost) : loop_(loop), in_(in_most) {}
     ~Link() override { close(); }
     Link(const Link&) = delete;
     Link& operator=(const Link&) = delete;
@@ -40,8 +40,10 @@
   protected:
     virtual void came_up() {}
     virtual void came_in() = 0;  // bytes are in in_
+    virtual void went_out() {}   // all that was put is written
     virtual void ended() = 0;    // the peer ended it, or it broke; closed before the call
     void look_again();           // at what in_ still holds
+    void hear_no_more();         // what still comes is left unread
     Loop& loop_;
     Ring in_, out_;
 
@@ -51,7 +53,7 @@
     void broke();
     void set_wants();
     int fd_ = -1;
-    bool connecting_ = false, finished_ = false, over_ = false;
+    bool connecting_ = false, finished_ = false, over_ = false, deaf_ = false;
     Due::Key told_ = Due::kNone;
 };
 
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/core.h>
 
+#include <algorithm>
+
 namespace tideline::net {
 namespace {
 
@@ -28,7 +30,7 @@
       terms_(terms),
       address_(address),
       fetch_(loop, address),
-      watch_(loop, address) {
+      watches_{Call(loop, address), Call(loop, address)} {
     read_revision(known);
 }
 
@@ -73,23 +75,49 @@
     return true;
 }
 
-void List::take(const std::string& text) {
+void List::take(int which, const std::string& text) {
+    if (which != standing_) {  // the one that follows speaks: what the old one told was all taken
+        watches_[standing_].drop();
+        standing_ = which;
+    }
     if (text.empty()) return;  // a sign of life
     const json list = json::parse(text, nullptr, false);
     if (!list.is_discarded() && read(list, false)) return;
-    watch_.drop();
-    owner_.list_lost("watch: no list in a line");
+    watches_[which].drop();
+    lost(which, "no list in a line");
 }
 
 // Danger: what was lost before the watch stood counts as told; so the watch names the last state known.
-void List::follow() {
-    watch_.begin(fmt::format("/v1/servers?follow=1&since={}", revision_), kListSilence, kListSilence,
-                 {[this](const std::string& line) { take(line); },
-                  [this] {
-                      watch_.drop();
-                      owner_.list_lost("watch: ended");
-                  },
-                  [this](const std::string& why) { owner_.list_lost("watch: " + why); }});
+void List::watch(int which) {
+    loop_.due.cancel(again_);
+    watches_[which].begin(fmt::format("/v1/servers?follow=1&since={}", revision_), kListSilence, kListSilence,
+                          {[this, which](const std::string& line) { take(which, line); },
+                           [this, which] {
+                               watches_[which].drop();
+                               lost(which, "ended");
+                           },
+                           [this, which](const std::string& why) { lost(which, why); }});
+}
+void List::follow() { watch(standing_); }
+
+// Danger: a watch that is given up before the next one speaks leaves a gap, in which changes count as told.
+// So after a move the old one stays; the next one is opened beside it, again and again if it is lost.
+void List::move(Address address) {
+    if (address == address_) return;
+    address_ = address, pause_ = kReopenFirst;
+    for (Call* call : {&fetch_, &watches_[0], &watches_[1]}) call->move(address);
+    if (watches_[standing_].open()) watch(1 - standing_);
+}
+void List::lost(int which, const std::string& why) {
+    if (which != standing_) {
+        again_ = loop_.due.at(clock_now() + pause_, [this, which] { watch(which); });
+        pause_ = std::min(kReopenMost, 2 * pause_);
+    } else if (watches_[1 - which].open()) {
+        standing_ = 1 - which;
+    } else {
+        loop_.due.cancel(again_);
+        owner_.list_lost("watch: " + why);
+    }
 }
 
 void List::fetch() {
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "net/call.hpp"
+#include "net/limits.hpp"
 
 namespace tideline::net {
 
@@ -21,21 +22,29 @@
     };
     // `known` is the copy that was told at start; a watch asks for what came after it.
     List(Loop& loop, Owner& owner, const Terms& terms, Address address, const nlohmann::json& known);
+    ~List() { loop_.due.cancel(again_); }
 
     // False where it is no list; an entry that makes no sense is passed over.
     bool read(const nlohmann::json& list, bool first_copy);
     void fetch();
     void follow();
+    void move(Address address);  // the list is now told there; the watch goes over without a gap
 
   private:
-    void take(const std::string& text);
+    void watch(int which);
+    void take(int which, const std::string& text);
+    void lost(int which, const std::string& why);
     void read_revision(const nlohmann::json& list);
     Loop& loop_;
     Owner& owner_;
     const Terms& terms_;
-    const Address address_;
+    Address address_;
     std::int64_t revision_ = 0;
-    Call fetch_, watch_;
+    Call fetch_;
+    Call watches_[2];  // the one that stands, and after a move the one that is to follow it
+    int standing_ = 0;
+    Seconds pause_ = kReopenFirst;
+    Due::Key again_ = Due::kNone;
     std::string fetched_;
 };
 
--- a/src/net/pg.cpp
+++ b/src/net/pg.cpp
@@ -149,7 +149,20 @@
     return std::pair{body.substr(0, middle), body.substr(middle + 1, end - middle - 1)};
 }
 
-bool one_column_described(std::string_view body) { return body.size() > 2 && body[0] == 0 && body[1] == 1; }
+bool within(std::string_view bytes, std::size_t most) {
+    return bytes.size() < 5 || (number(bytes.substr(1)) >= 4 && number(bytes.substr(1)) <= most + 4);
+}
+bool begins_value(std::string_view bytes, std::size_t most) {
+    if (!within(bytes, most + 6) || (bytes.size() >= 5 && number(bytes.substr(1)) < 10)) return false;
+    if (bytes.size() >= 7 && (bytes[5] != 0 || bytes[6] != 1)) return false;
+    return bytes.size() < 11 || number(bytes.substr(1)) - 10 == number(bytes.substr(7));
+}
+bool one_text(std::string_view body) { return !body.empty() && body.find('\0') == body.size() - 1; }
+
+// The count of columns; the name, table, column, type, size, modifier and format of the one.
+bool one_column_described(std::string_view body) {
+    return body.size() > 2 && body[0] == 0 && body[1] == 1 && body.find('\0', 2) + 19 == body.size();
+}
 
 bool one_value(std::string_view body, std::size_t most) {
     if (body.size() < 6 || body[0] != 0 || body[1] != 1) return false;
--- a/src/net/pg.hpp
+++ b/src/net/pg.hpp
@@ -37,6 +37,12 @@
 // Name and value of a ParameterStatus; nothing if it is malformed.
 std::optional<std::pair<std::string_view, std::string_view>> parameter(std::string_view body);
 bool one_column_described(std::string_view body);
+// Whether the message that begins so has a body of at most `most` bytes, as far as its length is there.
+bool within(std::string_view bytes, std::size_t most);
+// The same of a DataRow of one value, as far as its sizes are there.
+bool begins_value(std::string_view bytes, std::size_t most);
+// Whether a body holds one text, ended as it should be, and nothing else.
+bool one_text(std::string_view body);
 // Whether a DataRow holds one value of at most `most` bytes and nothing else.
 bool one_value(std::string_view body, std::size_t most);
 // inflight=7,util=0.61
--- a/src/net/platform.cpp
+++ b/src/net/platform.cpp
@@ -42,6 +42,8 @@
         for (Asked& asked : asked_) loop_.due.cancel(asked.limit);
         loop_.due.cancel(idle_);
     }
+    bool leaving = false;
+    bool leave() { return leaving = !asked_.empty(); }  // false if nothing is waited for
     // Nothing that was asked before and got no answer stands in the way.
     bool usable() const {
         return !closed() &&
@@ -75,7 +77,8 @@
         if (asked_.empty()) return;  // an answer to nothing
         const Asked asked = asked_.front();
         asked_.pop_front();
-        if (asked_.empty()) idle_ = loop_.due.at(clock_now() + kCallIdle, [this] { all_.drop_ballots(); });
+        if (asked_.empty())
+            idle_ = loop_.due.at(clock_now() + (leaving ? 0 : kCallIdle), [this] { all_.drop(this); });
         if (!asked.awaited) return;  // it came too late and was told as such
         Due::Key limit = asked.limit;
         loop_.due.cancel(limit);
@@ -99,7 +102,7 @@
             asked.awaited = false, asked.limit = Due::kNone;
         }
         const bool never = !up() || !all_written();
-        if (!up()) all_.drop_ballots();
+        if (!up()) all_.drop(this);
         all_.owner_.vote_answered(never ? VoteReply::failed : VoteReply::timed_out);
     }
     void lost() {
@@ -108,7 +111,7 @@
             std::count_if(asked_.begin(), asked_.end(), [](const Asked& asked) { return asked.awaited; }));
         for (Asked& asked : asked_) loop_.due.cancel(asked.limit);
         asked_.clear();
-        all_.drop_ballots();
+        all_.drop(this);
         // Only the last one can be written in part.
         for (int i = 1; i <= open; ++i)
             all_.owner_.vote_answered(!whole && i == open ? VoteReply::failed : VoteReply::timed_out);
@@ -131,7 +134,7 @@
       feeds_{Call(loop, address), Call(loop, address)} {}
 Platform::~Platform() {
     loop_.due.cancel(tend_);
-    if (ballots_) ballots_->close();
+    for (auto& each : ballots_) each->close();
 }
 
 bool Platform::read_state(const json& state) {
@@ -149,6 +152,18 @@
 
 void Platform::begin() { tend_feed(); }
 
+// Danger: what is told while no feed stands is lost, and so is a vote whose answer is not waited for. So the
+// old feed stays until the new one speaks, and the old connection until what was asked there is answered.
+void Platform::move(Address address) {
+    if (address == address_) return;
+    address_ = address;
+    for (Call& feed : feeds_) feed.move(address);
+    feeds_[1 - standing_].drop();
+    moved_ = feeds_[standing_].open(), pause_ = kReopenFirst;
+    tend_feed();
+    if (!ballots_.empty() && !ballots_.back()->leave()) drop(ballots_.back().get());
+}
+
 void Platform::tend_after(Seconds span) {
     loop_.due.cancel(tend_);
     tend_ = loop_.due.at(clock_now() + span, [this] {
@@ -162,39 +177,41 @@
 void Platform::tend_feed() {
     const Seconds now = clock_now();
     const bool stands = feeds_[standing_].open();
-    if (stands && now - heard_ < kFeedSilence) return tend_after(heard_ + kFeedSilence - now);
-    const int which = stands && heard_ > 0 ? 1 - standing_ : standing_;
+    if (stands && !moved_ && now - heard_ < kFeedSilence) return tend_after(heard_ + kFeedSilence - now);
+    const int which = stands && (moved_ || heard_ > 0) ? 1 - standing_ : standing_;
     if (!feeds_[which].open()) {
         if (heard_ > 0) owner_.platform_said(stands ? "feed silent, another is tried" : "feed opened again");
-        const auto lost = [this](const std::string& why) {
-            owner_.platform_said("feed: " + why);
-            tend_after(pause_);
-        };
         feeds_[which].begin("/api/feed", kFeedSilence, 1e9,
                             {[this, which](const std::string& line) { feed_line(which, line); },
-                             [this, which, lost] {
-                                 feeds_[which].drop();
-                                 lost("ended");
-                             },
-                             lost});
+                             [this, which] { feed_lost(which, "ended"); },
+                             [this, which](const std::string& why) { feed_lost(which, why); }});
     }
     const double unit = static_cast<double>(chance_()) / static_cast<double>(chance_.max());
     tend_after(pause_ * (0.5 + unit));
     pause_ = std::min(kReopenMost, 2 * pause_);
 }
 
+void Platform::feed_lost(int which, const std::string& why) {
+    feeds_[which].drop();
+    owner_.platform_said("feed: " + why);
+    if (which == standing_) {
+        moved_ = false;  // the next one is opened at the present address
+        if (feeds_[1 - which].open()) standing_ = 1 - which;
+    }
+    tend_after(pause_);
+}
+
 void Platform::feed_line(int which, const std::string& text) {
     heard_ = clock_now(), pause_ = kReopenFirst;
-    feeds_[1 - which].drop();
-    standing_ = which;
-    tend_after(kFeedSilence);
+    // Danger: after a move the old feed still speaks, and must not end the one that is to follow it.
+    if (!moved_ || which != standing_) {
+        feeds_[1 - which].drop();
+        standing_ = which, moved_ = false;
+        tend_after(kFeedSilence);
+    }
     if (text.empty()) return;
     const json news = json::parse(text, nullptr, false);
-    if (news.is_discarded()) {
-        feeds_[which].drop();
-        owner_.platform_said("feed: a line that can't be read");
-        return tend_after(pause_);
-    }
+    if (news.is_discarded()) return feed_lost(which, "a line that can't be read");
     const auto object = news.find("object");
     if (!news.is_object() || object == news.end() || !object->is_object())
         return;  // a sign of life, or not ours
@@ -211,15 +228,19 @@
 }
 
 void Platform::vote(Build build, Stage stage, Vote vote) {
-    if (ballots_ && !ballots_->usable()) drop_ballots();
-    if (!ballots_) ballots_ = std::make_unique<Ballots>(*this);
-    ballots_->ask(json{{"version", build.value}, {"step", stage.value}, {"vote", word_of(vote)}}.dump());
+    if (!ballots_.empty() && !ballots_.back()->usable()) drop(ballots_.back().get());
+    if (ballots_.empty() || ballots_.back()->leaving) ballots_.push_back(std::make_unique<Ballots>(*this));
+    ballots_.back()->ask(
+        json{{"version", build.value}, {"step", stage.value}, {"vote", word_of(vote)}}.dump());
 }
 
-void Platform::drop_ballots() {
-    if (!ballots_) return;
-    ballots_->close();
-    loop_.bury(std::move(ballots_));
+void Platform::drop(Ballots* ballots) {
+    const auto it =
+        std::find_if(ballots_.begin(), ballots_.end(), [&](auto& b) { return b.get() == ballots; });
+    if (it == ballots_.end()) return;
+    ballots->close();
+    loop_.bury(std::move(*it));
+    ballots_.erase(it);
 }
 
 }  // namespace tideline::net
--- a/src/net/platform.hpp
+++ b/src/net/platform.hpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "net/call.hpp"
 
@@ -26,25 +27,29 @@
 
     bool read_state(const nlohmann::json& state);  // false where it is none
     void begin();
+    void move(Address address);                      // it is now there; feed and votes go over without a gap
     void vote(Build build, Stage stage, Vote vote);  // answered from the loop
 
   private:
     class Ballots;
     void tend_feed();
     void tend_after(Seconds span);
+    void feed_lost(int which, const std::string& why);
     void feed_line(int which, const std::string& text);
-    void drop_ballots();
+    void drop(Ballots* ballots);
 
     Loop& loop_;
     Owner& owner_;
-    const Address address_;
+    Address address_;
     const Seconds vote_wait_;
     std::ranlux24_base chance_;
     Call feeds_[2];  // the one that stands, and one that is tried when that falls silent
     int standing_ = 0;
+    bool moved_ = false;  // the one that stands is at the old address
     Seconds heard_ = 0, pause_ = kReopenFirst;
     Due::Key tend_ = Due::kNone;
-    std::unique_ptr<Ballots> ballots_;
+    std::vector<std::unique_ptr<Ballots>>
+        ballots_;  // the last one takes votes, the rest still wait for answers
 };
 
 }  // namespace tideline::net
--- a/src/net/pods.cpp
+++ b/src/net/pods.cpp
@@ -16,41 +16,46 @@
     const int times;  // of its place when it was opened
     std::uint64_t no = 0;
     std::uint64_t errand = 0;  // 0: none
+    bool opening = true;       // counted in its place
     Due::Key until = Due::kNone;
     Seconds idle_since = 0;
-    bool greeted = false;
+    bool greeted() const { return state_ != State::greeting; }
 
     void ask(std::uint64_t whose, std::string_view text) {
-        must(greeted && errand == 0 && !answered_, "a connection serves one dispatch at a time");
-        errand = whose;
-        described_ = valued_ = false;
+        must(state_ == State::idle && errand == 0, "a connection serves one dispatch at a time");
+        errand = whose, state_ = State::asked;
         load_.clear();
         answer_.clear();
         put(pg::query(text));
     }
-    bool clean() {
-        return greeted && errand == 0 && !answered_ && in_.empty() && all_written() && !heard_end();
-    }
+    bool clean() { return state_ == State::idle && in_.empty() && all_written() && !heard_end(); }
 
   protected:
     void came_up() override { put(pg::startup("svc", "main")); }
+    // Danger: what comes unasked, a second copy of an answer too, may not be there for the next dispatch. It
+    // ends the connection, in whatever state; what can't be an answer does so with its first bytes.
     void came_in() override {
         while (!closed() && !in_.empty()) {
             char type = 0;
             std::string_view body;
             std::size_t whole = 0;
             const std::string_view bytes = in_.all();
+            if (state_ == State::idle || !expected(bytes)) return spoilt();
             switch (pg::next(bytes, kMessageMost, type, body, whole)) {
                 case pg::Read::more:
                     return;
                 case pg::Read::bad:
-                    return all_.link_failed(no, Outcome::broken);
+                    return spoilt();
                 case pg::Read::whole:
                     break;
             }
-            if (!take(type, body, bytes.substr(0, whole))) return all_.link_failed(no, Outcome::broken);
+            if (!take(type, body, bytes.substr(0, whole))) return spoilt();
             if (closed()) return;
             in_.drop(whole);
+            if (state_ != State::ready) continue;
+            state_ = State::idle;
+            if (odd_ || !clean()) return all_.link_failed(no, Outcome::spoilt);
+            all_.link_free(no);
         }
     }
     void ended() override {
@@ -60,60 +65,75 @@
     }
 
   private:
-    // False if it is malformed or out of order.
+    enum class State { greeting, idle, asked, described, valued, answered, ready };
+    void spoilt() { all_.link_failed(no, Outcome::spoilt); }
+    // Whether the first bytes can begin what comes next. Danger: an answer said to have 3 GB is waited for
+    // in vain, or read for as long as it goes on.
+    bool expected(std::string_view bytes) const {
+        if (bytes[0] == 'S' || bytes[0] == 'N') return pg::within(bytes, kNoticeMost);
+        switch (state_) {
+            case State::greeting:
+                return std::string_view("RKZE").find(bytes[0]) != std::string_view::npos &&
+                       pg::within(bytes, kNoticeMost);
+            case State::asked:
+                return (bytes[0] == 'T' || bytes[0] == 'E') && pg::within(bytes, kNoticeMost);
+            case State::described:
+                return bytes[0] == 'E' ? pg::within(bytes, kNoticeMost)
+                                       : bytes[0] == 'D' && pg::begins_value(bytes, kValueMost);
+            case State::valued:
+                return (bytes[0] == 'C' || bytes[0] == 'E') && pg::within(bytes, kNoticeMost);
+            case State::answered:
+                return bytes[0] == 'Z' && pg::within(bytes, 1);
+            default:
+                return false;
+        }
+    }
+    // False if it is malformed.
     bool take(char type, std::string_view body, std::string_view bytes) {
-        const bool asked = errand != 0;
         switch (type) {
             case 'N':
             case 'K':
                 return true;
             case 'R':
-                return !greeted && body == std::string_view("\0\0\0\0", 4);
-            case 'S':
-                if (const auto param = pg::parameter(body)) {
-                    if (param->first == "vitals") load_ = pg::load(param->second);
-                    return true;
-                }
-                return false;
+                return body == std::string_view("\0\0\0\0", 4);
+            case 'S':  // a report that can't be read spoils the connection, not the answer that it came with
+                if (const auto param = pg::parameter(body); !param)
+                    odd_ = true;
+                else if (param->first == "vitals")
+                    load_ = pg::load(param->second);
+                return true;
             case 'Z':
-                if (asked) return false;
-                greeted = true;
-                answered_ = false;
-                all_.link_free(no);
+                if (body != "I") return false;
+                state_ = State::ready;
                 return true;
             case 'T':
-                if (!asked || described_ || !pg::one_column_described(body)) return false;
-                described_ = true;
+                state_ = State::described;
                 answer_.append(bytes);
-                return true;
+                return pg::one_column_described(body);
             case 'D':
-                if (!asked || !described_ || valued_ || !pg::one_value(body, kValueMost)) return false;
-                valued_ = true;
+                state_ = State::valued;
                 answer_.append(bytes);
-                return true;
+                return pg::one_value(body, kValueMost);
             case 'C':
-                if (!asked || !valued_) return false;
+                if (!pg::one_text(body)) return false;
                 answer_.append(bytes);
                 finish_errand(Outcome::succeeded);
                 return true;
-            case 'E': {
+            default: {
                 const auto code = pg::error_field(body, 'C');
+                if (code.size() != 5) return false;
                 const bool turned_away = code == "53300";
-                if (!greeted) {
+                if (state_ == State::greeting)
                     all_.link_failed(no, turned_away ? Outcome::full : Outcome::unreachable);
-                    return true;
-                }
-                if (asked) finish_errand(turned_away ? Outcome::full : Outcome::failed);
+                else
+                    finish_errand(turned_away ? Outcome::full : Outcome::failed);
                 return true;
             }
-            default:
-                return false;
         }
     }
     void finish_errand(Outcome outcome) {
         const std::uint64_t whose = errand;
-        errand = 0;
-        answered_ = true;  // until ReadyForQuery
+        errand = 0, state_ = State::answered;
         std::string answer;
         answer.swap(answer_);
         const Load load = load_;
@@ -121,7 +141,8 @@
     }
 
     Pods& all_;
-    bool described_ = false, valued_ = false, answered_ = false;
+    State state_ = State::greeting;
+    bool odd_ = false;  // it serves no further dispatch
     Load load_;
     std::string answer_;
 };
@@ -143,7 +164,7 @@
     }
     links_.each([&](std::uint64_t no, auto& link) {
         const Place& place = places_[link->pod];
-        if (link->greeted && link->errand == 0 && (!place.listed || place.times != link->times))
+        if (link->greeted() && link->errand == 0 && (!place.listed || place.times != link->times))
             drop_link(no);
     });
     std::erase_if(places_, [&](auto& entry) {
@@ -248,7 +269,7 @@
     if (!link) return;
     Place& place = places_[(*link)->pod];
     std::erase(place.idle, no);
-    if (!(*link)->greeted) --place.opening;
+    if ((*link)->opening) --place.opening;
     loop_.due.cancel((*link)->until);
     (*link)->close();
     loop_.bury(std::move(*link));
@@ -277,10 +298,9 @@
     Connection& link = **links_.find(no);
     const PodId pod = link.pod;
     Place& place = places_[pod];
-    if (link.until != Due::kNone) {  // it has just come up
-        loop_.due.cancel(link.until);
-        --place.opening;
-    }
+    if (link.opening) --place.opening;  // it has just come up
+    link.opening = false;
+    loop_.due.cancel(link.until);
     recall(place);
     if (link.times != place.times || !place.listed) {
         drop_link(no);
@@ -301,7 +321,7 @@
     auto* found = links_.find(no);
     if (!found) return;
     const std::uint64_t number = (*found)->errand;
-    const bool opening = !(*found)->greeted;
+    const bool opening = (*found)->opening;
     const PodId pod = (*found)->pod;
     (*found)->errand = 0;
     drop_link(no);
@@ -312,7 +332,7 @@
     if (static_cast<int>(place.waiting.size()) <= place.opening) return;
     const std::uint64_t first = place.waiting.front();
     place.waiting.pop_front();
-    end(first, outcome == Outcome::broken ? Outcome::unreachable : outcome);
+    end(first, outcome == Outcome::full ? outcome : Outcome::unreachable);
 }
 
 bool Pods::shed_one() {
--- a/src/net/ring.hpp
+++ b/src/net/ring.hpp
@@ -17,6 +17,8 @@
 
     std::size_t size() const { return size_; }
     bool empty() const { return size_ == 0; }
+    void bound(std::size_t most) { most_ = most; }
+    std::size_t room() const { return kept_.size(); }  // bytes of memory
     bool full() const { return size_ >= most_; }
 
     // Free bytes in one piece; empty only when the bound is reached.
@@ -28,7 +30,7 @@
     }
     void filled(std::size_t bytes) { size_ += bytes; }
     bool put(std::string_view bytes) {
-        if (bytes.size() > most_ - size_) return false;
+        if (size_ >= most_ || bytes.size() > most_ - size_) return false;
         while (!bytes.empty()) {
             const auto to = space();
             const std::size_t now = std::min(to.size(), bytes.size());
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -40,6 +40,8 @@
     : loop_(loop),
       log_(log),
       terms_(slip.terms),
+      name_(slip.name),
+      listens_(slip.listen),
       sockets_(descriptors_allowed(slip.sockets)),
       operations_(names_of<Operation>(terms_, "operations")),
       customers_(names_of<Customer>(terms_, "customers")),
@@ -74,7 +76,7 @@
 void Sidecar::conclude(InvId inv, std::string_view answer) {
     Held* held = held_.find(inv.value);
     if (!must(held && !held->concluded, "one answer an invocation")) return;
-    held->concluded = true;
+    over(*held);
     late_ += clock_now() > held->ends + kWriteRoom;
     clients_.answer(held->client, answer);
     settle(inv);
@@ -97,17 +99,19 @@
 // Danger: in a jam clients open more and more connections; what they ask for needs descriptors too.
 bool Sidecar::room_below(std::size_t most) {
     while (loop_.watched() + kSocketsSpared >= most)
-        if (!pods_.shed_one() && !clients_.shed_one()) return false;
+        if (!clients_.shed_one(kSpareAfter) && !pods_.shed_one() && !clients_.shed_one(kSettled))
+            return false;
     return true;
 }
-std::optional<InvId> Sidecar::admit(ClientNo client, std::string_view statement, std::size_t d_at,
-                                    std::size_t d_size, std::string_view operation, std::string_view customer,
-                                    std::string_view record, Seconds budget) {
+std::optional<InvId> Sidecar::admit(ClientNo client, std::string_view id, std::string_view statement,
+                                    std::size_t d_at, std::size_t d_size, std::string_view operation,
+                                    std::string_view customer, std::string_view record, Seconds budget) {
     const auto op = operations_.find(operation);
-    if (op == operations_.end()) return std::nullopt;
+    // Danger: who sends the id of another's invocation may not be served by what pods take for that one.
+    if (op == operations_.end() || !ids_.emplace(id).second) return std::nullopt;
     const auto from = customers_.find(customer);
     Held held;
-    held.client = client, held.statement = statement, held.d_at = d_at, held.d_size = d_size;
+    held.client = client, held.id = id, held.statement = statement, held.d_at = d_at, held.d_size = d_size;
     held.op = op->second, held.customer = from == customers_.end() ? Customer{-1} : from->second;
     held.key = key_of(record), held.budget = std::max(0.0, budget - kWriteRoom);
     held.ends = clock_now() + held.budget;
@@ -125,10 +129,14 @@
     Held* held = held_.find(inv.value);
     if (!held || held->concluded) return;
     ++went_;
-    held->concluded = true;
+    over(*held);
     choice_->invocation_dropped(clock_now(), inv);
     settle(inv);
 }
+void Sidecar::over(Held& held) {
+    held.concluded = true;
+    ids_.erase(held.id);
+}
 void Sidecar::settle(InvId inv) {
     const Held* held = held_.find(inv.value);
     if (held && held->concluded && held->out == 0) held_.remove(inv.value);
@@ -154,7 +162,7 @@
     --held->out;
     ++outcomes_[outcome];
     const bool serves = outcome == Outcome::succeeded && !held->concluded;
-    if (serves) held->concluded = true, clients_.answer(held->client, answer);
+    if (serves) over(*held), clients_.answer(held->client, answer);
     choice_->dispatch_ended(clock_now(), inv, no, pod, outcome, took, held->concluded, load);
     settle(inv);
 }
@@ -197,6 +205,15 @@
     clients_.let_go(clock_now() > let_go_since_ + kStalled);
     loop_.due.at(clock_now() + kLinger / 10, [this] { let_go(); });
 }
+void Sidecar::take_up(const Slip& fresh) {
+    list_.move(fresh.list);
+    platform_.move(fresh.platform);
+    sockets_ = descriptors_allowed(fresh.sockets);
+    log_.line("new configuration taken up; {} descriptors", sockets_);
+    if (fresh.name != name_ || fresh.listen != listens_ || fresh.terms != terms_)
+        log_.line("only a restart takes up:{}{}{}", fresh.name != name_ ? " name" : "",
+                  fresh.listen != listens_ ? " listen" : "", fresh.terms != terms_ ? " settings" : "");
+}
 void Sidecar::report_later() {
     report_ = loop_.due.at(clock_now() + kReportEvery, [this] {
         report();
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -19,14 +19,15 @@
   public:
     Sidecar(Loop& loop, Log& log, const Slip& slip);
     ~Sidecar() override;
-    void let_go();                                                     // after SIGTERM
+    void let_go();                    // after SIGTERM
+    void take_up(const Slip& fresh);  // after SIGHUP: what can change at run time
     bool done() const { return letting_go_ && clients_.size() == 0; }  // what is held has a client that waits
     void report();
 
   private:
     struct Held {  // an invocation that was taken, until nothing of it is out
         ClientNo client;
-        std::string statement;
+        std::string id, statement;
         std::size_t d_at = 0, d_size = 0;
         Operation op;
         Customer customer;
@@ -48,9 +49,9 @@
     // Clients::Owner
     bool can_serve() override { return listed_; }
     bool room_for_client() override { return room_below(sockets_ - sockets_ / kSocketsForPods); }
-    std::optional<InvId> admit(ClientNo client, std::string_view statement, std::size_t d_at,
-                               std::size_t d_size, std::string_view operation, std::string_view customer,
-                               std::string_view record, Seconds budget) override;
+    std::optional<InvId> admit(ClientNo client, std::string_view id, std::string_view statement,
+                               std::size_t d_at, std::size_t d_size, std::string_view operation,
+                               std::string_view customer, std::string_view record, Seconds budget) override;
     void taken(InvId inv) override;
     void client_went(InvId inv) override;
     // Pods::Owner
@@ -72,16 +73,20 @@
 
     bool room_below(std::size_t most);
     void conclude(InvId inv, std::string_view answer);
+    void over(Held& held);   // it has its answer, or nobody waits for one
     void settle(InvId inv);  // forgotten once concluded with nothing out
     void report_later();
 
     Loop& loop_;
     Log& log_;
     const Terms terms_;
-    const std::size_t sockets_;
+    std::string name_;
+    Address listens_;
+    std::size_t sockets_;
     std::map<std::string, Operation, std::less<>> operations_;
     std::map<std::string, Customer, std::less<>> customers_;
     Slots<Held> held_;
+    std::set<std::string, std::less<>> ids_;  // of those that have no answer yet
     Clients clients_;
     Pods pods_;
     List list_;
--- a/src/words.hpp
+++ b/src/words.hpp
@@ -29,7 +29,7 @@
 
 using Seconds = double;
 
-enum class Outcome { succeeded, failed, full, timed_out, unreachable, broken, withdrawn, moot };
+enum class Outcome { succeeded, failed, full, timed_out, unreachable, broken, spoilt, withdrawn, moot };
 enum class PodState { ready, draining, gone };
 enum class ListKind { changes, whole, warm_copy };
 enum class Phase { trial, reverting, released, withdrawn };
