Machines that fail whatever they get are not their build; tests of bad peers and reload

Fault: choice.cpp, evidence() left out the worst machine only once others had ten answers with no failure, which stage 0 never gives.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,7 +1,7 @@
 // Every decision of a tideline sidecar: which pod gets an invocation, when one is given up, which build is
-// voted on or back. Interface: choice.hpp (Choice is told what happens, Host is how it acts), words.hpp.
-// How to call it: make one Choice for each sidecar with what is told at start; call the method for each thing
-// that happens, with the time; it acts through Host before the call returns. Design: docs/design.md.
+// voted on or back. Design: docs/design.md. Interface: choice.hpp, words.hpp. How to call it: one Choice a
+// sidecar, with what is told at start; the method for each thing that happens, with the time; it acts before
+// that returns.
 #include "choice.hpp"
 
 #include <cmath>
@@ -41,6 +41,7 @@
 constexpr Seconds kSpan = 5;            // s: about a stage; spans in which a released build is judged
 constexpr double kEnoughBefore = 100;   // answers: an earlier build's share is known to about 3% then
 constexpr Seconds kSameAge = 1;         // s: pods of one stage start about together; younger ones clear none
+constexpr double kFailsAll = 0.5;       // share: a machine that fails more, of several operations, fails all
 constexpr double kOthersLeast = 10;     // answers: so many good ones of other pods clear a build of one's
 constexpr std::size_t kTimesKept = 64;  // answers an operation: enough for a steady median
 constexpr std::size_t kTimesLeast = 12;  // answers: fewer give no median to go by
@@ -295,10 +296,10 @@
     }
 
     // --- Rule 4: no cold pod pushed over ----------------------------------------------------------------
-    // Danger: all sidecars together push a fresh pod over, and none sees the others. Each keeps its sends to
-    // a safe share of an even share of what it serves: summed over sidecars of any number and size that is a
-    // share of what the pods carry, also in a burst, since what is served can't exceed it. Where it is under
-    // one invocation, a draw for each window decides: hundreds of first ones come to the same expected sum.
+    // Danger: all sidecars together push a fresh pod over, and none sees the others. Each sends a safe share
+    // of an even share of what it serves: summed over any number of sidecars a share of what the pods carry,
+    // also in a burst. Where that is under one invocation, a draw for each window decides, with the same
+    // expected sum.
     bool cold(const Pod& pod) const { return pod.line.started > 0 && now - pod.line.started < warm_within; }
     double capacity(const Pod& pod) const {  // present share of the warm one, at least
         if (!cold(pod)) return 1;
@@ -335,9 +336,6 @@
         }
         return true;
     }
-    bool may_throttle(const Invocation& inv) const {
-        return covers[inv.op.value].effect == Effect::idempotent || !inv.may_have_run();
-    }
 
     // --- Routing ----------------------------------------------------------------------------------------
     // Answer time now, over the shortest. Danger: a sidecar that sees a pod seldom clings to the one whose
@@ -378,9 +376,8 @@
 
     // The build on trial first, as long as its cap has room; else the earlier build. Among pods the cheapest,
     // with a draw. A pod that failed an earlier dispatch of this invocation is the last resort.
-    // Danger: the cap is larger than the trial pods' share of the fleet, and fresh pods are cold: sent all
-    // that the rules allow, they jam, and the build looks bad. A pod on trial or cold comes first only up to
-    // a little over an even share of what it can do at present; beyond that after all others.
+    // Danger: the cap is larger than the trial pods' share of the fleet: sent all that the rules allow, these
+    // jam, and the build looks bad. On trial or cold, a pod comes first up to a little over an even share.
     Pod* pick(const Invocation& inv) {
         Pod* best = nullptr;
         std::pair<int, double> least;
@@ -411,10 +408,8 @@
 
     void give_up(InvId id, Invocation& inv) {
         inv.concluded = true;
-        if (may_throttle(inv))
-            host.throttle(id, draw(kComeBackLeast, 1) * longest_come_back);
-        else
-            host.terminate(id);
+        const bool harmless = covers[inv.op.value].effect == Effect::idempotent || !inv.may_have_run();
+        harmless ? host.throttle(id, draw(kComeBackLeast, 1) * longest_come_back) : host.terminate(id);
         if (!inv.out()) open.erase(id);
     }
 
@@ -430,10 +425,10 @@
                      all = taken_all.since(now - kOverSeen);
         return shares.contains(customer) && from > kOverShare * shares[customer] * all + kOverShare;
     }
-    // Danger: with hundreds of sidecars none has enough out for an in-flight limit to bind, and a jam, once
-    // the pods hold too much, feeds itself. A share of what is taken is sent, the rest given up at once: it
-    // falls with each late answer, by how late it is, while most are slow, and grows with each in time.
-    // Should also stop a storm of second dispatches. Harms while pods are silent for another reason.
+    // Danger: with hundreds of sidecars no in-flight limit binds, and a jam feeds itself. A share of what is
+    // taken is sent: it falls with each late answer, by how late it is, while most are slow, and grows with
+    // each in time. Should also stop a storm of second dispatches. Harms while pods are silent for another
+    // reason.
     void set_share(const Cover& cover, Outcome outcome, Seconds since_taken) {
         if (outcome == Outcome::full) share *= kShareFull;
         if (outcome != Outcome::succeeded && outcome != Outcome::timed_out) return;
@@ -573,24 +568,39 @@
         const auto it = pods.find(pod);
         return it == pods.end() ? 0 : it->second.line.started;
     }
+    // Danger: machines that fail whatever they get mark a good build, early on where nothing else speaks for
+    // it. They are left out, unless most that run it are so. Harms where there is only ever one machine.
+    std::set<PodId> broken_machines() const {
+        std::map<PodId, std::pair<Count, int>> by_pod;  // answers, and operations that failed
+        std::set<PodId> broken;
+        for (const auto& [charge, of_pods] : fresh)
+            for (const auto& [pod, count] : of_pods)
+                if (auto& [all, failing] = by_pod[pod]; charge.value >= 0)
+                    all = all + count, failing += count.bad > 0;
+        for (const auto& [pod, own] : by_pod)
+            if (own.second > 1 && own.first.share() > kFailsAll) broken.insert(pod);
+        return broken.size() > 1 && 2 * broken.size() > by_pod.size() ? std::set<PodId>{} : broken;
+    }
     // Danger: one broken or slow machine marks a good build for good. What a build does it does on all its
     // machines, so the worst is left out: for failures where the others, with enough answers, show none; for
     // slowness always. Harms where only one machine ever runs the build: then its slowness is not judged.
     Count evidence(Charge charge) {
-        Count all, others, as_old;
+        const auto broken = charge.value >= 0 || charge == kAny ? broken_machines() : std::set<PodId>{};
+        Count all, as_old;
         const std::pair<const PodId, Count>* worst = nullptr;
         for (const auto& of_pod : fresh[charge]) {
+            if (broken.contains(of_pod.first)) continue;
             all = all + of_pod.second;
             if (!worst || of_pod.second.share() > worst->second.share()) worst = &of_pod;
         }
-        for (const auto& [pod, count] : fresh[charge]) {
-            if (pod == worst->first) continue;
-            others = others + count;
-            if (started(pod) <= started(worst->first) + kSameAge) as_old = as_old + count;
-        }
+        for (const auto& [pod, count] : fresh[charge])
+            if (!broken.contains(pod) && pod != worst->first &&
+                started(pod) <= started(worst->first) + kSameAge)
+                as_old = as_old + count;
         if (charge == kSlowness && fresh[charge].size() < 2) return {};
         if (charge == kSlowness || charge == kFleet) return calmer_half(fresh[charge], charge == kFleet);
-        return as_old.seen >= kOthersLeast && as_old.bad == 0 ? others : all;
+        if (as_old.seen < kOthersLeast || as_old.bad > 0) return all;
+        return {all.seen - worst->second.seen, all.bad - worst->second.bad};
     }
     // Where the earlier build gets too little in this stage to compare with, all that was seen of it counts.
     // Slowness is compared side by side only: a busier hour makes any build slow.
@@ -613,20 +623,17 @@
     // must agree, the evidence behind them adds up: each needs its part of it, down to one failure.
     double score(Charge charge) {
         const Count bad = evidence(charge);
-        if (charge == kSlowness)
-            return bad.bad < part_each * kLeastSlow ? 0 : z_score(bad, before(charge), kSlowFloor);
-        if (charge == kFleet)
-            return bad.bad < std::max(kCrudePart, part_each) * kLeastSlow ? 0
-                                                                          : z_score(bad, calm, kFleetFloor);
-        if (charge == kFlagged)
-            return bad.bad < std::max(kCrudePart, part_each) * kLeastFailures
-                       ? 0
-                       : z_score(bad, before(charge) + Count{0, kFlagGranted}, kErrorFloor * flagged_share);
-        const auto z = [&](const Count& now_new, const Count& old, double floor) {
-            return now_new.bad < part_each * kLeastFailures ? 0 : z_score(now_new, old, floor);
+        const Count old = before(charge);
+        const double crude = std::max(kCrudePart, part_each), least = part_each * kLeastFailures;
+        const auto z = [](double needed, const Count& now_new, const Count& before, double floor) {
+            return now_new.bad < needed ? 0 : z_score(now_new, before, floor);
         };
-        return std::max(z(bad, before(charge), kErrorFloor),
-                        z(told_beyond_all(charge), told_earlier[charge], kTallyFloor));
+        if (charge == kSlowness) return z(part_each * kLeastSlow, bad, old, kSlowFloor);
+        if (charge == kFleet) return z(crude * kLeastSlow, bad, old, kFleetFloor);
+        if (charge == kFlagged)
+            return z(crude * kLeastFailures, bad, old + Count{0, kFlagGranted}, kErrorFloor * flagged_share);
+        const Count told = told_beyond_all(charge);
+        return std::max(z(least, bad, old, kErrorFloor), z(least, told, told_earlier[charge], kTallyFloor));
     }
     // log(f1/f0) of each charge's score in the present stage: both unit normal, f1 with mean kBadMean.
     std::map<Charge, double> current_ratios() {
@@ -691,10 +698,9 @@
         if (d.pod.build < judged || news->phase != Phase::trial) times.add(took);
     }
 
-    // Danger: a build that slows all pods, old and new, shows no difference between them. So answers during
-    // a stage are held against those before the trial: where the middle half of the pods got slow, with no
-    // more work sent (throttled clients come back, so not: taken), the trial is the cause. Should also catch
-    // a build that eats what all share (a store, a link). Harms where another jam sets in during a trial.
+    // Danger: a build that slows all pods, old and new, shows no difference between them. So answers in a
+    // stage are held against those before the trial: where the middle half got slow, with no more work sent
+    // (not: taken; the throttled come back), it is the trial. Harms where another jam sets in during a trial.
     void count_fleet(const Invocation& inv, const Dispatch& d, Seconds took) {
         if (!news || !d.warm || d.pod.build > judged || d.sent < news->began) return;
         if (!news->judged() || (news->phase == Phase::released && now > news->began + 2 * kSpan)) return;
@@ -757,8 +763,8 @@
         next_beat = now + span;
         host.alarm(span, kBeatAlarm);
     }
-    void beat() {
-        if (now < next_beat - kBeat / 4) return;
+    void beat(AlarmId alarm) {
+        if (alarm != kBeatAlarm || now < next_beat - kBeat / 4) return;
         ask_for_list();
         look_at_resting();
         serve_waiting();
@@ -900,10 +906,8 @@
     void probed(const PodId& id, Outcome outcome) {
         const auto it = pods.find(id);
         if (it == pods.end() || !it->second.probed) return;
-        if (outcome == Outcome::succeeded)
-            it->second.proving = true;
-        else
-            rest(it->second, "probe failed");
+        if (outcome != Outcome::succeeded) return rest(it->second, "probe failed");
+        it->second.proving = true;
     }
 
     // Danger: the pod may have taken up another build since; a flag for what it ran before is not its own.
@@ -939,10 +943,8 @@
         if (!vote_open) return;
         vote_open = false;
         standing = reply == VoteReply::counted ? asked : Vote::none;
-        if (reply == VoteReply::counted)
-            vote_due = now + vote_life * draw(kRenewFrom, kRenewTo);
-        else
-            vote_due = now + kVoteAgain * draw(0.5, 1.5);
+        const bool counted = reply == VoteReply::counted;
+        vote_due = now + (counted ? vote_life * draw(kRenewFrom, kRenewTo) : kVoteAgain * draw(0.5, 1.5));
     }
 };
 
@@ -983,8 +985,6 @@
     at(now).told_stage(build, stage, phase, cap, age);
 }
 void Choice::vote_answered(Seconds now, VoteReply reply) { at(now).vote_told(reply); }
-void Choice::alarm_rang(Seconds now, AlarmId alarm) {
-    if (alarm == kBeatAlarm) at(now).beat();
-}
+void Choice::alarm_rang(Seconds now, AlarmId alarm) { at(now).beat(alarm); }
 
 }  // namespace tideline
--- a/src/net/pg.cpp
+++ b/src/net/pg.cpp
@@ -141,6 +141,10 @@
     return {};
 }
 
+bool blames_statement(std::string_view code) {
+    return code.starts_with("08") || code.starts_with("22") || code.starts_with("42");
+}
+
 std::optional<std::pair<std::string_view, std::string_view>> parameter(std::string_view body) {
     const auto middle = body.find('\0');
     if (middle == std::string_view::npos) return std::nullopt;
--- a/src/net/pg.hpp
+++ b/src/net/pg.hpp
@@ -34,6 +34,9 @@
 
 // The value of one field of an ErrorResponse; empty if it has none.
 std::string_view error_field(std::string_view body, char field);
+// Danger: a client's nonsense that a pod turns away is no failure of the pod, or of its build. True for the
+// classes of codes that say so: protocol violation, data, syntax. Such a statement never ran.
+bool blames_statement(std::string_view code);
 // Name and value of a ParameterStatus; nothing if it is malformed.
 std::optional<std::pair<std::string_view, std::string_view>> parameter(std::string_view body);
 bool one_column_described(std::string_view body);
--- a/src/net/platform.cpp
+++ b/src/net/platform.cpp
@@ -180,7 +180,10 @@
     if (stands && !moved_ && now - heard_ < kFeedSilence) return tend_after(heard_ + kFeedSilence - now);
     const int which = stands && (moved_ || heard_ > 0) ? 1 - standing_ : standing_;
     if (!feeds_[which].open()) {
-        if (heard_ > 0) owner_.platform_said(stands ? "feed silent, another is tried" : "feed opened again");
+        if (heard_ > 0)
+            owner_.platform_said(!stands  ? "feed opened again"
+                                 : moved_ ? "feed opened at the new address"
+                                          : "feed silent, another is tried");
         feeds_[which].begin("/api/feed", kFeedSilence, 1e9,
                             {[this, which](const std::string& line) { feed_line(which, line); },
                              [this, which] { feed_lost(which, "ended"); },
--- a/src/net/pods.cpp
+++ b/src/net/pods.cpp
@@ -126,7 +126,9 @@
                 if (state_ == State::greeting)
                     all_.link_failed(no, turned_away ? Outcome::full : Outcome::unreachable);
                 else
-                    finish_errand(turned_away ? Outcome::full : Outcome::failed);
+                    finish_errand(turned_away                  ? Outcome::full
+                                  : pg::blames_statement(code) ? Outcome::moot
+                                                               : Outcome::failed);
                 return true;
             }
         }
--- a/tests/plain.cpp
+++ b/tests/plain.cpp
@@ -124,6 +124,47 @@
     CHECK_FALSE(s.host.noted("marked"));
 }
 
+TEST_CASE("machines that fail whatever they get are not their build, unless most of its machines do") {
+    Terms terms = basic_terms();
+    terms["operations.count"] = 2.0;
+    for (const char* what : {"slo_time", "time_limit", "effect", "group", "repeat_window"})
+        terms[std::string("operations.1.") + what] = terms[std::string("operations.0.") + what];
+    const int broken = GENERATE(1, 2, 4);  // of five
+    Sidecar s(terms);
+    open_trial(s, 0.9);
+    s.choice.pods_listed(s.now, ListKind::changes, {pod("o", 2), pod("p", 2), pod("q", 2)});
+    const std::string names = std::string("nmopq").substr(0, static_cast<std::size_t>(broken));
+    for (int i = 0; i < 200; ++i) {  // from the first answers on, where nothing yet speaks for the build
+        s.serve(
+            [&](const PodId& p) {
+                return names.find(p.value) != names.npos ? Outcome::failed : Outcome::succeeded;
+            },
+            i % 2);
+        s.run(0.05);
+    }
+    CHECK(s.sent_to("n") > 5);
+    CHECK(s.host.noted("marked") == (broken == 4));
+}
+
+TEST_CASE("a spoilt answer may have run, is sent again where that is allowed, and marks no build") {
+    Sidecar s;
+    open_trial(s, 0.9);
+    for (int i = 0; i < 160; ++i) {
+        s.serve([&](const PodId& p) {
+            return p.value > "m" && i % 3 == 0 ? Outcome::spoilt : Outcome::succeeded;
+        });
+        s.run(0.05);
+    }
+    CHECK(s.sent_to("n") > 20);
+    CHECK_FALSE(s.host.noted("marked"));
+    const std::size_t before = s.host.sent.size();
+    const InvId inv = s.take();
+    REQUIRE(s.host.sent.size() == before + 1);
+    s.choice.dispatch_ended(s.now, inv, DispatchNo{0}, s.host.sent.back().pod, Outcome::spoilt, 0.1, false,
+                            {});
+    CHECK(s.host.sent.size() == before + 2);
+}
+
 TEST_CASE("a pod that fails everything at once does not draw the work") {
     Sidecar s;
     s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1), pod("b", 1), pod("c", 1)});
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -235,8 +235,8 @@
     void start() {
         if (!told.contains("known"))
             told["known"] = {{"revision", 41}, {"complete", true}, {"members", members}};
+        write();
         const std::string path = folder_ + "/config.json";
-        std::ofstream(path) << told.dump();
         pid_ = ::fork();
         if (pid_ == 0) {
             const int log = ::open((folder_ + "/log").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
@@ -246,6 +246,9 @@
             ::_exit(127);
         }
     }
+    void write(const std::string& text = {}) {
+        std::ofstream(folder_ + "/config.json") << (text.empty() ? told.dump() : text);
+    }
     // Started, with the watch and the feed taken.
     void begin() {
         start();
@@ -301,6 +304,12 @@
             if (i >= 14) ticks += std::stod(word);
         return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
     }
+    long memory() const {  // MB at most so far
+        std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+        for (std::string word; file >> word;)
+            if (word == "VmHWM:" && file >> word) return std::stol(word) / 1024;
+        return 0;
+    }
     std::string log() const {
         std::ifstream file(folder_ + "/log");
         return {std::istreambuf_iterator<char>(file), {}};
@@ -683,6 +692,238 @@
     CHECK(after.answer() == "empty");
 }
 
+TEST_CASE("what comes behind a good answer is not there for the next invocation") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    client.send(invocation());
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    const auto [odd, later] = GENERATE(table<std::string, bool>({{served("1"), false},
+                                                                 {served("1"), true},
+                                                                 {"noise", false},
+                                                                 {failed("XX000"), true},
+                                                                 {pg::message('N', "x"), false}}));
+    pod.send(served("1") + (later ? "" : odd));
+    REQUIRE(client.answer() == "1");
+    if (later) pod.send(odd);
+    CHECK(pod.ended());
+    client.send(invocation());
+    Peer second = rig.pod();
+    REQUIRE(second.message().first == 'Q');
+    second.send(served("2"));
+    CHECK(client.answer() == "2");
+    CHECK(rig.log().find("did not hold") == std::string::npos);
+}
+
+TEST_CASE("while more waits for a connection, what lies behind an answer is not taken for theirs") {
+    Rig rig(1);
+    rig.begin();
+    Peer first = rig.client(), next = rig.client();
+    first.send(invocation());
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    next.send(invocation());
+    Peer other = rig.pod(kLong, false);  // it opens, and is never greeted
+    pod.send(served("first") + served("first"));
+    CHECK(first.answer() == "first");
+    other.take(1 << 20), other.send(pg::welcome());
+    if (other.message(0.5).first == 'Q') other.send(served("next"));
+    CHECK_THAT(next.answer(), Catch::Equals("next") || Catch::StartsWith("!"));
+}
+
+TEST_CASE("a load report that can't be read spoils its connection, not the answer") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    client.send(invocation("charge"));
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    pod.send(pg::message('S', "vitals") + served("good"));
+    CHECK(client.answer() == "good");
+    CHECK(pod.ended());
+}
+
+TEST_CASE("a spoilt answer is known by its first bytes, and no byte of it is passed on") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    client.send(invocation("charge"));
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    const std::string described = row("").substr(0, row("").find('D'));
+    const std::string bytes = GENERATE_COPY(
+        std::string("D"), std::string("!"), std::string("T\x7f\xff\xff\xff"), described + "C",
+        described + std::string("D\xb2\xd0\x5e\0", 5), described + std::string("D\0\0\0\x0e\0\2", 7),
+        described + std::string("D\0\0\0\x0e\0\1\0\0\0\5", 11), row("1") + "Z", pg::message('E', "no fields"),
+        row("1") + pg::message('C', "no end"));
+    pod.send(bytes);
+    const double before = now();
+    CHECK(client.answer() == "!58000");  // it may have run
+    CHECK(now() - before < 1);
+    CHECK(pod.ended());
+    CHECK_FALSE(rig.pod(0.1));
+}
+
+TEST_CASE("a statement that pods turn away is answered, and not sent again") {
+    Rig rig;
+    rig.begin();
+    Peer client = rig.client();
+    client.send(invocation());
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    pod.send(failed("22P02"));
+    CHECK_THAT(client.answer(), Catch::StartsWith("!"));
+    CHECK_FALSE(rig.pod(0.2));
+    CHECK(pod.quiet(0.1));
+}
+
+TEST_CASE("each bad client gets an error or a close soon, while others are served") {
+    Rig rig(1);
+    rig.begin();
+    const std::string hello = pg::startup("svc", "main");
+    const std::string bytes = GENERATE_COPY(
+        std::string(), hello.substr(0, 9), std::string("GET / HTTP/1.1\r\n\r\n"), hello + "Q",
+        hello + "Q\0\0", hello + std::string("Q\0\0\0\3", 5), hello + invocation().substr(0, 40),
+        hello + pg::message('Q', std::string(80, 'x')), hello + "P",
+        hello + std::string("Q\3\x93\x87\0", 5) + std::string(4 << 20, 'x'),
+        std::string("\0\0\0\x8\4\xd2\x16\x2f\0\0\0\x8\4\xd2\x16\x2f\0\0\0\x8\4\xd2\x16\x2f", 24));
+    Peer bad = Peer::to(rig.port);
+    bad.send(bytes);
+    Peer client = rig.client();
+    client.send(invocation());
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    pod.send(served("1"));
+    CHECK(client.answer() == "1");
+    CHECK(bad.ended(2.9));
+    client.send(pg::query(""));
+    CHECK(client.answer() == "empty");
+}
+
+TEST_CASE("the id of an open invocation is not taken a second time") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client(), bad = rig.client();
+    const std::string query = invocation();
+    client.send(query);
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    bad.send(query);
+    CHECK(bad.answer() == "!22023");
+    pod.send(served("1"));
+    CHECK(client.answer() == "1");
+    client.send(query);  // over: the id is free
+    REQUIRE(pod.message().first == 'Q');
+}
+
+TEST_CASE("commands by the hundred are answered in order, the rest waits with the sender") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    std::string flood;
+    for (int i = 0; i < 5000; ++i) flood += pg::query(i % 10 == 9 ? " " : "");
+    client.send(flood + invocation());
+    for (int i = 0; i < 5000; ++i) REQUIRE(client.answer() == "empty");
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+}
+
+TEST_CASE("silent clients by hundreds, and half statements of the largest size, keep no one out") {
+    Rig rig(1);
+    rig.told["limits"]["sockets"] = 128;
+    rig.begin();
+    const bool silent = GENERATE(true, false);
+    const std::string half =
+        pg::startup("svc", "main") + std::string("Q\0\2\x70\0", 5) + std::string(150000, ' ');
+    std::vector<Peer> bad;
+    for (int i = 0; i < 300; ++i) {
+        bad.push_back(Peer::to(rig.port));
+        if (!silent && i < 80) bad.back().send(half);
+    }
+    Peer client = rig.client();
+    client.send(invocation());
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    pod.send(served("1"));
+    CHECK(client.answer() == "1");
+    CHECK(rig.memory() < 24);
+}
+
+TEST_CASE("SIGHUP: new addresses are taken up beside the old ones, and nothing told between is lost") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    client.send(invocation());
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    Stand list, platform, fresh;
+    rig.told["discovery"] = "127.0.0.1:" + std::to_string(list.port);
+    rig.told["deployer"]["address"] = "127.0.0.1:" + std::to_string(platform.port);
+    const std::string broken = GENERATE(std::string(), std::string("{\"name\":"), std::string("[]"));
+    rig.write(broken);
+    rig.signal(SIGHUP);
+    pod.send(served("1"));
+    CHECK(client.answer() == "1");
+    if (!broken.empty()) {
+        CHECK_FALSE(list.take(0.3));
+        CHECK(rig.log().find("what stands stays") != std::string::npos);
+    }
+    rig.write();
+    if (broken.empty()) rig.signal(SIGHUP);  // in a row; else it is read again unasked
+    Peer watch = list.take(), feed = platform.take();
+    REQUIRE(watch.upto("\r\n\r\n").find("since=41") != std::string::npos);
+    REQUIRE(feed.upto("\r\n\r\n").find("GET /api/feed") == 0);
+    rig.feed.send(chunk(json{{"type", "ROLLOUT"}, {"object", state("canary", 42, 0.5)}}.dump() + "\n"));
+    Peer votes = platform.take();  // the old feed still counts, and votes go to the new address
+    CHECK(votes.upto("}").find("\"version\":42") != std::string::npos);
+    CHECK_FALSE(rig.watch.ended(0.2));
+    CHECK_FALSE(rig.feed.ended(0.1));
+    rig.change(json::array({pod_line("s-1", fresh.port)}));  // so does the old watch
+    rest(0.1);
+    watch.send(kStream + chunk("\n")), feed.send(kStream + chunk("{}\n"));
+    CHECK(rig.watch.ended());
+    CHECK(rig.feed.ended());
+    watch.send(chunk(json{{"revision", 44},
+                          {"complete", false},
+                          {"members", json::array({pod_line("s-0", 1, "Terminating")})}}
+                         .dump() +
+                     "\n"));
+    rest(0.1);
+    client.send(invocation());
+    CHECK(fresh.take());
+    rig.signal(SIGHUP), rig.signal(SIGTERM);
+    CHECK_FALSE(list.take(0.2));  // what was taken up is not opened again
+    client.close();
+    CHECK(rig.status() == 0);
+}
+
+TEST_CASE("SIGHUP: what only a restart can take up is named, and the old address may end at once") {
+    Rig rig(1);
+    rig.begin();
+    Stand list;
+    rig.told["discovery"] = "127.0.0.1:" + std::to_string(list.port);
+    rig.told["settings"]["safety"]["drainGraceUs"] = 400000;
+    rig.write();
+    rig.signal(SIGHUP);
+    Peer first = list.take();
+    REQUIRE(first);
+    first.close();  // not up yet
+    Peer second = list.take();
+    REQUIRE(second);
+    rig.watch.close();
+    second.upto("\r\n\r\n");
+    second.send(kStream + chunk(json{{"revision", 50},
+                                     {"complete", true},
+                                     {"members", json::array({pod_line("s-7", rig.pods[0].port)})}}
+                                    .dump() +
+                                "\n"));
+    rest(0.2);
+    CHECK(rig.log().find("only a restart takes up: settings") != std::string::npos);
+    CHECK(rig.log().find("list lost") == std::string::npos);
+    CHECK_FALSE(second.ended(0.2));
+}
+
 TEST_CASE("a term that is missing is named on standard error, with a status other than 0") {
     Rig rig(1);
     const auto& [pointer, named] =
