--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -9,6 +9,8 @@
 namespace tideline::net {
 namespace {
 
+constexpr std::string_view kVersion = "HTTP/1.";
+
 std::string lower(std::string_view text) {
     std::string small(text);
     std::transform(small.begin(), small.end(), small.begin(),
@@ -37,7 +39,7 @@
 bool HttpReader::read_head(std::string_view head, Taker& taker) {
     // HTTP/1.1 200 OK
     unsigned long long status = 0;
-    if (!head.starts_with("HTTP/1.") || head.size() < 12 || head[8] != ' ' ||
+    if (!head.starts_with(kVersion) || head.size() < 12 || head[8] != ' ' ||
         !whole_number(head.substr(9, 3), 10, status))
         return false;
     bool chunked = false, told = false;
@@ -81,7 +83,10 @@
             case State::head: {
                 const auto end = bytes.find("\r\n\r\n", used);
                 if (end == std::string_view::npos) {
-                    if (bytes.size() - used > kHeadMost) state_ = State::broken;
+                    // Danger: for the end of what can't be a head one waits in vain.
+                    const std::string_view begun = bytes.substr(used, kVersion.size());
+                    if (bytes.size() - used > kHeadMost || !kVersion.starts_with(begun))
+                        state_ = State::broken;
                     return used;
                 }
                 const std::string_view head = bytes.substr(used, end - used);
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -3,6 +3,7 @@
 #include <fmt/core.h>
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace tideline::net {
 namespace {
@@ -42,6 +43,7 @@
 
 bool List::read(const json& list, bool first_copy) {
     if (!list.is_object() || !list.contains("members") || !list["members"].is_array()) return false;
+    bool odd = false;
     std::vector<PodLine> lines;
     std::vector<Address> addresses;
     for (const json& entry : list["members"]) {
@@ -50,7 +52,8 @@
             line.pod = PodId{entry.at("id").get<std::string>()};
             const auto state = kStates.find(entry.at("phase").get<std::string>());
             const auto address = address_of(entry.value("host_port", ""));
-            if (state == kStates.end() || (!address && state->second != PodState::gone)) continue;
+            if (state == kStates.end() || (!address && state->second != PodState::gone))
+                throw std::out_of_range("");
             line.state = state->second;
             line.location = Location{position(terms_, "locations", entry.value("locality", json()))};
             line.kind = position(terms_, "kinds", entry.value("flavor", json()));
@@ -58,21 +61,26 @@
             line.weight = entry.value("size", 1.0);
             line.build = Build{entry.value("revision_no", 0)};
             line.started = entry.value("up_since_ms", 0.0) * 1e-3;
+            if (!(line.weight > 0) || !(line.started >= 0) || line.build.value < 0)
+                throw std::out_of_range("");
             lines.push_back(std::move(line));
             addresses.push_back(address.value_or(Address{}));
-        } catch (const json::exception&) {
-            continue;  // an entry that makes no sense
+        } catch (const std::exception&) {
+            odd = true;  // an entry that makes no sense
         }
     }
-    read_revision(list);
     const auto complete = list.find("complete");
     const bool whole =
         first_copy || (complete != list.end() && complete->is_boolean() && complete->get<bool>());
+    // Danger: a change that could not be read counts as told. It is asked for again, from the state before
+    // it.
+    odd = odd && !whole;
+    if (!odd) read_revision(list);
     owner_.listed(first_copy ? ListKind::warm_copy
                   : whole    ? ListKind::whole
                              : ListKind::changes,
                   lines, addresses);
-    return true;
+    return !odd;
 }
 
 void List::take(int which, const std::string& text) {
@@ -84,7 +92,7 @@
     const json list = json::parse(text, nullptr, false);
     if (!list.is_discarded() && read(list, false)) return;
     watches_[which].drop();
-    lost(which, "no list in a line");
+    lost(which, "a line that can't be read");
 }
 
 // Danger: what was lost before the watch stood counts as told; so the watch names the last state known.
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -24,7 +24,7 @@
     List(Loop& loop, Owner& owner, const Terms& terms, Address address, const nlohmann::json& known);
     ~List() { loop_.due.cancel(again_); }
 
-    // False where it is no list; an entry that makes no sense is passed over.
+    // False where it is no list, or a change in it makes no sense; what does is taken all the same.
     bool read(const nlohmann::json& list, bool first_copy);
     void fetch();
     void follow();
--- a/src/net/pg.cpp
+++ b/src/net/pg.cpp
@@ -2,6 +2,7 @@
 
 #include <cctype>
 #include <charconv>
+#include <cmath>
 
 #include "net/limits.hpp"
 
@@ -179,7 +180,8 @@
     each_pair(text, [&](std::string_view name, std::string_view value) {
         double read = 0;
         const auto end = std::from_chars(value.data(), value.data() + value.size(), read);
-        if (end.ec == std::errc{} && end.ptr == value.data() + value.size()) load[std::string(name)] = read;
+        if (end.ec == std::errc{} && end.ptr == value.data() + value.size() && std::isfinite(read))
+            load[std::string(name)] = read;
     });
     return load;
 }
--- a/src/net/platform.cpp
+++ b/src/net/platform.cpp
@@ -34,25 +34,21 @@
 
 }  // namespace
 
-// The connection for votes. Each vote has one place in the order of answers, and keeps it after its time-out.
+// The connection for votes, whose answers come in their order.
+// Danger: behind an answer that can't be read, or never comes, the next one would wait in vain. Either ends
+// the connection; whoever waits on it is told, and the next vote takes a fresh one.
 class Platform::Ballots : public Link, HttpReader::Taker {
   public:
     explicit Ballots(Platform& all) : Link(all.loop_), all_(all) { open(all.address_); }
     ~Ballots() override {
-        for (Asked& asked : asked_) loop_.due.cancel(asked.limit);
+        for (Due::Key& limit : asked_) loop_.due.cancel(limit);
         loop_.due.cancel(idle_);
     }
     bool leaving = false;
     bool leave() { return leaving = !asked_.empty(); }  // false if nothing is waited for
-    // Nothing that was asked before and got no answer stands in the way.
-    bool usable() const {
-        return !closed() &&
-               std::count_if(asked_.begin(), asked_.end(), [](auto& a) { return !a.awaited; }) < 2;
-    }
     void ask(const std::string& body) {
         loop_.due.cancel(idle_);
-        const std::uint64_t no = ++numbered_;
-        asked_.push_back({no, true, loop_.due.at(clock_now() + all_.vote_wait_, [this, no] { late(no); })});
+        asked_.push_back(loop_.due.at(clock_now() + all_.vote_wait_, [this] { lost(); }));
         put(
             fmt::format("POST /api/ballots HTTP/1.1\r\nHost: peer\r\nContent-Type: application/json\r\n"
                         "Content-Length: {}\r\n\r\n{}",
@@ -62,6 +58,7 @@
   protected:
     void came_in() override {
         const std::size_t used = reader_.take(in_.all(), *this);
+        if (closed()) return;
         in_.drop(used);
         if (reader_.broken()) lost();
     }
@@ -74,52 +71,34 @@
         if (body_.size() < kMessageMost) body_.append(bytes);
     }
     void end() override {
-        if (asked_.empty()) return;  // an answer to nothing
-        const Asked asked = asked_.front();
+        if (asked_.empty()) return lost();  // an answer to nothing
+        const json answer = json::parse(body_, nullptr, false);
+        const auto reply = kReplies.find(status_);
+        const bool counted = reply != kReplies.end() && reply->second == VoteReply::counted;
+        if (reply == kReplies.end() || answer.is_discarded() || (counted && !all_.read_state(answer)))
+            return lost();  // what can't be read tells nothing
+        loop_.due.cancel(asked_.front());
         asked_.pop_front();
         if (asked_.empty())
             idle_ = loop_.due.at(clock_now() + (leaving ? 0 : kCallIdle), [this] { all_.drop(this); });
-        if (!asked.awaited) return;  // it came too late and was told as such
-        Due::Key limit = asked.limit;
-        loop_.due.cancel(limit);
-        auto reply = kReplies.contains(status_) ? kReplies.at(status_) : VoteReply::timed_out;
         if (status_ == 400) all_.owner_.platform_said("vote not understood: " + body_);
-        if (reply == VoteReply::counted && !all_.read_state(json::parse(body_, nullptr, false)))
-            reply = VoteReply::timed_out;  // what can't be read tells nothing
-        all_.owner_.vote_answered(reply);
+        all_.owner_.vote_answered(reply->second);
     }
 
   private:
-    struct Asked {
-        std::uint64_t no;
-        bool awaited;
-        Due::Key limit;
-    };
-    // Whether it counts is not known, unless it was never written whole.
-    void late(std::uint64_t no) {
-        for (Asked& asked : asked_) {
-            if (asked.no != no) continue;
-            asked.awaited = false, asked.limit = Due::kNone;
-        }
-        const bool never = !up() || !all_written();
-        if (!up()) all_.drop(this);
-        all_.owner_.vote_answered(never ? VoteReply::failed : VoteReply::timed_out);
-    }
+    // Whether a vote counts is not known, unless it was never written whole. Only the last one can be so.
     void lost() {
-        const bool whole = all_written();
-        const auto open = static_cast<int>(
-            std::count_if(asked_.begin(), asked_.end(), [](const Asked& asked) { return asked.awaited; }));
-        for (Asked& asked : asked_) loop_.due.cancel(asked.limit);
+        const bool whole = up() && all_written();
+        const std::size_t open = asked_.size();
+        for (Due::Key& limit : asked_) loop_.due.cancel(limit);
         asked_.clear();
         all_.drop(this);
-        // Only the last one can be written in part.
-        for (int i = 1; i <= open; ++i)
+        for (std::size_t i = 1; i <= open; ++i)
             all_.owner_.vote_answered(!whole && i == open ? VoteReply::failed : VoteReply::timed_out);
     }
     Platform& all_;
     HttpReader reader_;
-    std::deque<Asked> asked_;
-    std::uint64_t numbered_ = 0;
+    std::deque<Due::Key> asked_;  // when each has waited for long enough
     int status_ = 0;
     std::string body_;
     Due::Key idle_ = Due::kNone;
@@ -141,9 +120,10 @@
     try {
         const auto phase = kPhases.find(state.at("status").get<std::string>());
         if (phase == kPhases.end()) return false;
-        owner_.stage_told(Build{state.at("version").get<int>()}, Stage{state.at("step").get<int>()},
-                          phase->second, state.value("maxWeight", 0.0),
-                          state.value("observedAgoMs", 0.0) * 1e-3);
+        const auto version = state.at("version").get<int>(), step = state.at("step").get<int>();
+        const auto cap = state.at("maxWeight").get<double>(), ms = state.value("observedAgoMs", 0.0);
+        if (version < 0 || step < 0 || !(cap >= 0 && cap <= 1) || !(ms >= 0)) return false;
+        owner_.stage_told(Build{version}, Stage{step}, phase->second, cap, ms * 1e-3);
         return true;
     } catch (const json::exception&) {
         return false;
@@ -221,7 +201,7 @@
     try {
         const std::string type = news.value("type", "");
         if (type == "ROLLOUT") read_state(*object);
-        if (type == "DISPUTE")
+        if (type == "DISPUTE" && object->value("observedAgoMs", 0.0) >= 0)
             owner_.answer_flagged(object->at("kind").get<std::string>(),
                                   PodId{object->at("pod").get<std::string>()},
                                   object->value("observedAgoMs", 0.0) * 1e-3);
@@ -231,8 +211,8 @@
 }
 
 void Platform::vote(Build build, Stage stage, Vote vote) {
-    if (!ballots_.empty() && !ballots_.back()->usable()) drop(ballots_.back().get());
-    if (ballots_.empty() || ballots_.back()->leaving) ballots_.push_back(std::make_unique<Ballots>(*this));
+    if (ballots_.empty() || ballots_.back()->leaving || ballots_.back()->closed())
+        ballots_.push_back(std::make_unique<Ballots>(*this));
     ballots_.back()->ask(
         json{{"version", build.value}, {"step", stage.value}, {"vote", word_of(vote)}}.dump());
 }
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -480,8 +480,14 @@
     Peer client = rig.client();
     client.send(pg::query(""));
     CHECK(client.quiet());
-    rig.change({"no entry", {{"id", 7}}, rig.members[0]});
-    CHECK(client.answer() == "empty");
+    auto odd = GENERATE(pod_line("s-7", 9, "Odd"), pod_line("s-7", 9, "Ready", -3), json{{"id", 7}},
+                        json("no entry"));
+    rig.change(json::array({odd, rig.members[0]}));
+    CHECK(client.answer() == "empty");  // what can be read is taken, the rest asked for again
+    Peer again = rig.list.take();
+    CHECK(again.upto("\r\n\r\n").find("since=41") != std::string::npos);
+    again.send("noise for ever");
+    CHECK(again.ended(1));
 }
 
 TEST_CASE("what waits for a connection does not go to a pod that began to drain") {
@@ -574,6 +580,18 @@
     CHECK(other.take());
 }
 
+TEST_CASE("a feed that can't be read is opened again soon, without a storm") {
+    Rig rig(1);
+    rig.begin();
+    rig.feed.send(GENERATE(chunk("{\"type\":\n"), std::string("zz\r\n"), chunk("\x80\xff\n")));
+    CHECK(rig.feed.ended());
+    int opened = 0;
+    for (const double until = now() + 2; now() < until;)
+        if (Peer feed = rig.platform.take(0.1)) ++opened, feed.send("no head at all");
+    CHECK(opened >= 2);
+    CHECK(opened < 12);
+}
+
 TEST_CASE("a silent watch counts as lost, a silent feed is kept until another speaks") {
     Rig rig(1);
     rig.begin();
@@ -586,7 +604,7 @@
     CHECK(rig.feed.ended());
 }
 
-TEST_CASE("a late answer is not taken for the next vote's") {
+TEST_CASE("a vote without an answer, or with one that can't be read, goes again on a fresh connection") {
     Rig rig(1);
     rig.begin();
     rig.feed.send(
@@ -598,9 +616,16 @@
     Peer votes = rig.platform.take();
     const auto vote = [&] { return votes.upto("\r\n\r\n").empty() ? "" : votes.upto("}"); };
     CHECK(vote().find("\"vote\":\"approve\"") != std::string::npos);
-    CHECK(vote().find("\"version\":42") != std::string::npos);  // after the time-out, again
+    const std::string spoilt = GENERATE(
+        std::string(), std::string("noise"), whole_answer(200, "{\"version\":"), whole_answer(503, "?"),
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"),
+        whole_answer(200, state("canary", 42, 7).dump()), whole_answer(200, state("wrong", 42, 1).dump()));
+    votes.send(spoilt);
+    CHECK(votes.ended(1));
+    votes = rig.platform.take();
+    CHECK(vote().find("\"version\":42") != std::string::npos);
     votes.send(whole_answer(429, "{\"error\":\"BUSY\"}"));
-    rest(0.05);
+    CHECK(vote().find("\"version\":42") != std::string::npos);
     votes.send(whole_answer(200, state("canary", 42, 0.5).dump()));
     CHECK(votes.quiet(1));  // it stands
 }
