--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -564,10 +564,7 @@
         for (std::size_t i = from; i < sorted.size() - left_out + from; ++i) half = half + sorted[i];
         return half;
     }
-    Seconds started(const PodId& pod) const {
-        const auto it = pods.find(pod);
-        return it == pods.end() ? 0 : it->second.line.started;
-    }
+    Seconds started(const PodId& pod) const { return pods.contains(pod) ? pods.at(pod).line.started : 0; }
     // Danger: machines that fail whatever they get mark a good build, early on where nothing else speaks for
     // it. They are left out, unless most that run it are so. Harms where there is only ever one machine.
     std::set<PodId> broken_machines() const {
@@ -786,11 +783,14 @@
             // The same id may come back as another machine, or with another build: nothing known holds.
             if (pod.line.started != line.started || pod.line.build != line.build) {
                 Pod fresh_start;
-                fresh_start.out = pod.out;
-                std::swap(pod, fresh_start);
+                fresh_start.out = pod.out, std::swap(pod, fresh_start);
             }
             pod.line = line;
         }
+        std::erase_if(pods, [&](auto& e) {  // on long days ids never end
+            return e.second.line.state == PodState::gone && !e.second.out &&
+                   now > e.second.last_answer + kFaded;
+        });
         std::size_t ready = 0;
         for (const auto& [id, pod] : pods) ready += pod.line.state == PodState::ready;
         most_ready = std::max(most_ready, ready);
@@ -884,8 +884,7 @@
         answered(pods[it->second.dispatches[no.value].pod.pod]);
     }
 
-    // Danger: what waits for a connection goes out late; by then its pod may drain or have started anew, or
-    // the build's cap may have fallen. It is recalled and placed again.
+    // Danger: once a connection is up the pod may drain or be another, or the cap have fallen: placed again.
     bool still_good(InvId id, DispatchNo no) {
         const auto it = open.find(id);
         if (it == open.end() || it->second.concluded || no != it->second.last_no()) return false;
@@ -941,9 +940,8 @@
     // Danger: a vote that was not counted is held to stand. Only a counted one stands; the rest go again.
     void vote_told(VoteReply reply) {
         if (!vote_open) return;
-        vote_open = false;
-        standing = reply == VoteReply::counted ? asked : Vote::none;
         const bool counted = reply == VoteReply::counted;
+        vote_open = false, standing = counted ? asked : Vote::none;
         vote_due = now + (counted ? vote_life * draw(kRenewFrom, kRenewTo) : kVoteAgain * draw(0.5, 1.5));
     }
 };
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -1,5 +1,6 @@
 #include "net/clients.hpp"
 
+#include <fmt/core.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -54,6 +55,7 @@
     }
     void fatal(std::string_view code, std::string_view text) {
         if (ending_) return;
+        ++all_.turned_away_[std::string(text)];
         put(pg::error("FATAL", code, text));
         hear_no_more();
         refused_ = true;
@@ -117,6 +119,8 @@
             over_after(kWholeWithin, "half a message");
         else if (mood == Mood::unread)
             over_after(kTakenWithin, "answers not taken");
+        else if (mood == Mood::idle)
+            all_.trim();
         else if (mood == Mood::ending)
             limit_ = loop_.due.at(clock_now() + (refused_ ? kFarewell : kLinger), [this] {
                 limit_ = Due::kNone;
@@ -226,7 +230,10 @@
 };
 
 Clients::Clients(Loop& loop, Owner& owner) : loop_(loop), owner_(owner) {}
-Clients::~Clients() { stop_listening(); }
+Clients::~Clients() {
+    loop_.due.cancel(trim_);
+    stop_listening();
+}
 
 bool Clients::listen(const Address& address) {
     fd_ = listen_at(address);
@@ -293,19 +300,42 @@
 void Clients::stand(ClientNo no, Use use) {
     const auto it = stands_.find(no.value);
     if (it != stands_.end()) standing_.erase({it->second.first, it->second.second, no.value});
+    spare_ += (use == Use::spare) - (it != stands_.end() && it->second.first == Use::spare);
     stands_[no.value] = {use, clock_now()};
     if (use != Use::needed) standing_.insert({use, stands_[no.value].second, no.value});
 }
 
 // Danger: clients that say nothing, or that asked once and hold on, would keep all others out. Those in
 // the way for longest go first: such as say nothing or half of something, then such as are idle.
-bool Clients::shed_one(Seconds idle_for) {
-    for (auto it = standing_.begin(); it != standing_.end(); ++it) {
+// Danger: clients that ask once and hold on use up the connections that clients may have, and the others
+// can't come, with descriptors left. Beyond some, the longest idle are ended: those that ask again are seldom
+// idle.
+void Clients::trim() {
+    if (trim_ != Due::kNone || spare_ <= owner_.idle_most()) return;
+    trim_ = loop_.due.at(clock_now() + kSettled, [this] {
+        trim_ = Due::kNone;
+        while (spare_ > owner_.idle_most() && shed_one(kSettled, Use::spare)) continue;
+        trim();
+    });
+}
+
+std::string Clients::report() const {
+    std::map<Use, int> uses;
+    for (const auto& [no, stand] : stands_) ++uses[stand.first];
+    std::string text = fmt::format("clients {} (silent {}, half {}, idle {}), let go {}", links_.size(),
+                                   uses[Use::none], uses[Use::half], uses[Use::spare], shed_);
+    for (const auto& [why, times] : turned_away_) text += fmt::format(", {}: {}", why, times);
+    return text;
+}
+
+bool Clients::shed_one(Seconds idle_for, Use from) {
+    for (auto it = standing_.lower_bound({from, 0, 0}); it != standing_.end(); ++it) {
         const auto [use, since, no] = *it;
         const Seconds least = use == Use::none ? kSettled : use == Use::half ? kWholeWithin / 4 : idle_for;
         if (clock_now() - since < least) continue;
         auto& link = *links_.find(no);
         if (use == Use::spare && !link->idle()) continue;
+        ++shed_;
         remove(ClientNo{no});
         return true;
     }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <tuple>
 
 #include "net/link.hpp"
@@ -15,12 +16,15 @@
 using ClientNo = Id<struct ClientTag, std::uint64_t>;
 
 class Clients : public Watcher {
+    enum class Use { none, half, spare, needed };
+
   public:
     class Owner {
       public:
         virtual ~Owner() = default;
         virtual bool can_serve() = 0;
         virtual bool room_for_client() = 0;  // another descriptor may be opened
+        virtual long idle_most() = 0;        // so many may stay idle
         // Nothing if the operation is unknown, or another invocation of that id is open.
         virtual std::optional<InvId> admit(ClientNo client, std::string_view id, std::string_view statement,
                                            std::size_t d_at, std::size_t d_size, std::string_view operation,
@@ -36,16 +40,18 @@
     void answer(ClientNo client, std::string_view bytes);  // a whole answer, before ReadyForQuery
     void wake();                                           // what waited until this sidecar can serve
     // Ends a connection that is of no use, or has been between two invocations for so long.
-    bool shed_one(Seconds idle_for);
+    bool shed_one(Seconds idle_for) { return shed_one(idle_for, Use::none); }
     // No more are accepted; each ends once it is between two invocations, or has none if `stalled` too.
     void let_go(bool stalled);
     std::size_t size() const { return links_.size(); }
+    std::string report() const;  // who is there, and why others were turned away
     void ready(short events) override;
 
   private:
     class Client;
-    enum class Use { none, half, spare, needed };
     void stand(ClientNo no, Use use);
+    bool shed_one(Seconds idle_for, Use from);
+    void trim();
     void count_parts(ClientNo no);
     void remove(ClientNo no);
     void accept_some();
@@ -56,10 +62,12 @@
     std::map<std::uint64_t, std::pair<Use, Seconds>> stands_;     // by number; since when
     std::set<std::tuple<Use, Seconds, std::uint64_t>> standing_;  // those that can be let go, in that order
     std::map<std::uint64_t, std::size_t> parts_of_;
-    std::size_t parts_ = 0;  // bytes held of statements that are not yet whole
+    std::map<std::string, long> turned_away_;  // by reason
+    long shed_ = 0, spare_ = 0;                // ended to make room; between two invocations just now
+    std::size_t parts_ = 0;                    // bytes held of statements that are not yet whole
     int fd_ = -1;
     bool letting_go_ = false;
-    Due::Key again_ = Due::kNone;
+    Due::Key again_ = Due::kNone, trim_ = Due::kNone;
 };
 
 }  // namespace tideline::net
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -23,6 +23,7 @@
 constexpr std::size_t kLineMost = 4 * 1024 * 1024;  // bytes: one line of JSON; a list of 10,000 pods fits
 constexpr std::size_t kLogHeld = 256 * 1024;  // bytes: log lines that wait for a slow reader; then dropped
 constexpr int kSocketsForPods = 8;            // of so many descriptors one is kept from clients for pods
+constexpr int kSocketsIdle = 8;        // of so many descriptors one may be an idle client: they hold a third
 constexpr int kBacklog = 1024;         // connections that wait to be accepted, as others come in bursts
 constexpr int kSocketsSpared = 24;     // descriptors: list, platform, log, and what opens in one pass
 constexpr int kAcceptsAPass = 64;      // connections: so that accepting can't hold up answers
--- a/src/net/pods.cpp
+++ b/src/net/pods.cpp
@@ -169,10 +169,10 @@
         if (link->greeted() && link->errand == 0 && (!place.listed || place.times != link->times))
             drop_link(no);
     });
-    std::erase_if(places_, [&](auto& entry) {
-        bool used = entry.second.listed || !entry.second.waiting.empty() || entry.second.opening > 0;
-        links_.each([&](std::uint64_t, auto& link) { used = used || link->pod == entry.first; });
-        return !used;
+    // Danger: on long days ids never end. What is no longer listed is forgotten with its last connection.
+    std::erase_if(places_, [](auto& entry) {
+        const Place& place = entry.second;
+        return !place.listed && place.waiting.empty() && place.links == 0;
     });
 }
 
@@ -218,7 +218,7 @@
     const std::uint64_t no = links_.add(std::make_unique<Connection>(*this, pod, place.times));
     Connection& link = **links_.find(no);
     link.no = no;
-    ++place.opening;
+    ++place.opening, ++place.links;
     if (!owner_.room_for_connection()) {
         link.until = loop_.due.soon([this, no] { link_failed(no, Outcome::unreachable); });
         return;
@@ -272,6 +272,7 @@
     Place& place = places_[(*link)->pod];
     std::erase(place.idle, no);
     if ((*link)->opening) --place.opening;
+    --place.links;
     loop_.due.cancel((*link)->until);
     (*link)->close();
     loop_.bury(std::move(*link));
--- a/src/net/pods.hpp
+++ b/src/net/pods.hpp
@@ -56,7 +56,7 @@
         int times = 0;  // how often it came to be something else: no older connection serves it
         std::deque<std::uint64_t> waiting;  // errands
         std::deque<std::uint64_t> idle;     // links, the one used last at the back
-        int opening = 0;
+        int opening = 0, links = 0;
     };
     void run(std::uint64_t errand, std::uint64_t link);
     void seek_link(std::uint64_t errand);
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -226,15 +226,14 @@
     const auto count = [&](Outcome outcome) { return outcomes_[outcome]; };
     log_.line(
         "taken {} held {} (peak {}) throttled {} terminated {} late {} gone {}; ended: succeeded {} failed "
-        "{} full "
-        "{} "
-        "timed out {} unreachable {} broken {} moot {}, recalled {}; lists {} lost {}; clients {} pod "
-        "connections "
-        "{} descriptors peak {} memory peak {} MB CPU {:.1f} s",
+        "{} full {} "
+        "timed out {} unreachable {} broken {} spoilt {} moot {}, recalled {}; lists {} lost {}; {}; pod "
+        "connections {}; "
+        "descriptors {} (peak {}) memory peak {} MB CPU {:.1f} s",
         taken_, held_.size(), held_peak_, throttled_, terminated_, late_, went_, count(Outcome::succeeded),
         count(Outcome::failed), count(Outcome::full), count(Outcome::timed_out), count(Outcome::unreachable),
-        count(Outcome::broken), count(Outcome::moot), recalled_, lists_, lost_, clients_.size(),
-        pods_.connections(), loop_.peak() + 4, used.ru_maxrss / 1024,
+        count(Outcome::broken), count(Outcome::spoilt), count(Outcome::moot), recalled_, lists_, lost_,
+        clients_.report(), pods_.connections(), loop_.watched() + 4, loop_.peak() + 4, used.ru_maxrss / 1024,
         static_cast<double>(used.ru_utime.tv_sec + used.ru_stime.tv_sec) +
             static_cast<double>(used.ru_utime.tv_usec + used.ru_stime.tv_usec) * 1e-6);
     for (const auto& [what, times] : broken_musts()) log_.line("did not hold {} times: {}", times, what);
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -48,6 +48,7 @@
     void note(const std::string& text) override { log_.line("{}", text); }
     // Clients::Owner
     bool can_serve() override { return listed_; }
+    long idle_most() override { return static_cast<long>(sockets_ / kSocketsIdle); }
     bool room_for_client() override { return room_below(sockets_ - sockets_ / kSocketsForPods); }
     std::optional<InvId> admit(ClientNo client, std::string_view id, std::string_view statement,
                                std::size_t d_at, std::size_t d_size, std::string_view operation,
