--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -64,7 +64,6 @@
 Sidecar::~Sidecar() { loop_.due.cancel(report_); }
 
 // --- What the module decides
-// --------------------------------------------------------------------------------
 void Sidecar::dispatch(InvId inv, const PodId& pod, Seconds stop_at) {
     Held* held = held_.find(inv.value);
     if (!must(held && !held->concluded, "no dispatch after the answer")) return;
@@ -95,7 +94,6 @@
 }
 
 // --- Clients
-// ------------------------------------------------------------------------------------------------
 // Danger: in a jam clients open more and more connections; what they ask for needs descriptors too.
 bool Sidecar::room_below(std::size_t most) {
     while (loop_.watched() + kSocketsSpared >= most)
@@ -143,7 +141,6 @@
 }
 
 // --- Pods
-// ---------------------------------------------------------------------------------------------------
 std::string Sidecar::statement_for(InvId inv, Seconds stop_at) {
     const Held& held = *held_.find(inv.value);
     std::string text = held.statement;
@@ -171,7 +168,6 @@
 }
 
 // --- List and platform
-// --------------------------------------------------------------------------------------
 void Sidecar::listed(ListKind kind, const std::vector<PodLine>& lines,
                      const std::vector<Address>& addresses) {
     ++lists_;
@@ -198,7 +194,6 @@
 void Sidecar::vote_answered(VoteReply reply) { choice_->vote_answered(clock_now(), reply); }
 
 // --- The end, and what is told of this sidecar
-// ----------------------------------------------------------------
 void Sidecar::let_go() {
     if (!letting_go_) let_go_since_ = clock_now();
     letting_go_ = true;
