--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -2,6 +2,7 @@
 // loopback.
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -111,7 +112,7 @@
             if (type == 0) return text;
             if (type == 'D') text = body.substr(6);
             if (type == 'I') text = "empty";
-            if (type == 'E') text = "!" + std::string(pg::error_field(body, 'C'));
+            if (type == 'E') text = fmt::format("!{}", pg::error_field(body, 'C'));
             if (type == 'Z') return text;
         }
     }
