Values of up to 512 KiB are taken from pods and passed on, not only the protocol's 64 KiB

The protocol page says 64 KiB; these are good answers all the same. At fault: kValueMost and kMessageMost in limits.hpp, as pods.cpp used them.

--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -8,14 +8,15 @@
 
 namespace tideline::net {
 
-constexpr std::size_t kRingFirst = 4096;          // bytes: holds nearly every statement and answer
-constexpr std::size_t kValueMost = 65536;         // bytes: the protocol's largest value
+constexpr std::size_t kRingFirst = 4096;        // bytes: holds nearly every statement and answer
+constexpr std::size_t kValueMost = 512 * 1024;  // bytes: the protocol has 64 KiB, pods were seen to send 367
 constexpr std::size_t kMessageMost = 160 * 1024;  // bytes: a value in hex digits, and the statement around it
-constexpr std::size_t kRingMost = 2 * 163840;     // bytes: two such messages, one partly read
-constexpr std::size_t kNoticeMost = 8192;         // bytes: what a pod says but for its value is far shorter
-constexpr std::size_t kStartupMost = 10000;       // bytes: PostgreSQL's own bound on a startup packet
-constexpr std::size_t kReadAPass = 16 * 1024;     // bytes a connection: so that none holds up the others
-constexpr int kMessagesAPass = 16;                // a client: the same for what comes in small pieces
+constexpr std::size_t kAnswerMost = kValueMost + 4096;  // bytes: such a value, and what a pod says about it
+constexpr std::size_t kRingMost = 2 * kAnswerMost;      // bytes: two such answers, one partly read
+constexpr std::size_t kNoticeMost = 8192;      // bytes: what a pod says but for its value is far shorter
+constexpr std::size_t kStartupMost = 10000;    // bytes: PostgreSQL's own bound on a startup packet
+constexpr std::size_t kReadAPass = 16 * 1024;  // bytes a connection: so that none holds up the others
+constexpr int kMessagesAPass = 16;             // a client: the same for what comes in small pieces
 constexpr std::size_t kPartsMost =
     4 * 1024 * 1024;                                // bytes: what clients have begun to send, of 32 MB in all
 constexpr std::size_t kHeadMost = 16 * 1024;        // bytes: an HTTP head; longer ones are not meant for us
--- a/src/net/pods.cpp
+++ b/src/net/pods.cpp
@@ -41,7 +41,7 @@
             std::size_t whole = 0;
             const std::string_view bytes = in_.all();
             if (state_ == State::idle || !expected(bytes)) return spoilt();
-            switch (pg::next(bytes, kMessageMost, type, body, whole)) {
+            switch (pg::next(bytes, kAnswerMost, type, body, whole)) {
                 case pg::Read::more:
                     return;
                 case pg::Read::bad:
