A pod's shortest answer time has a floor: the least of many short runs is chance

A probe of limits, dispatches in flight and reasons of giving up, every 2.5 s: 11 to 19 of 20 pods stand at an in-flight limit below 2, though the median answer takes 1.0 to 1.5 of the shortest; no room is the reason of nearly all that is given up. At fault: set_limit in choice.cpp takes the least mean of 40 runs of six; times vary enough that this lies far under any usual run, and twice it, too. Change: it counts as no less than 0.8 of the operations' own shortest. Harms where a pod's queue never empties from the start. Test: one short run among many; seen to fail with the floor at 0. Tests made to bite: spoilt answers as evidence, unreadable vote answers, votes at a move, odd list figures, early recall, first bytes of a head.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -60,6 +60,7 @@
 constexpr std::size_t kOpRunsKept = 60;  // runs
 constexpr double kSlack = 2;             // the in-flight limit falls when present time > this x shortest
 constexpr double kUnloaded = 0.167;      // share of the SLO time: an unloaded answer takes no longer
+constexpr double kShortestLeast = 0.8;   // relative: the least of many short runs is chance
 constexpr double kShortestMost = 1.25;   // relative: bounds a shortest time that was measured in a jam
 constexpr double kLeastStep = 0.5;       // factor: a limit falls by no more than this in one run
 constexpr double kLimitFirst = 4;        // dispatches: limit of a pod of which nothing is known
@@ -346,10 +347,11 @@
         return (n * pod.answers.present() + kCommonCounts * common) / (n + kCommonCounts);
     }
     static double in_flight_limit(const Pod& pod) { return pod.proving ? 1 : pod.limit; }
-    // After each run of answers the limit follows shortest over present answer time.
+    // After each run of answers the limit follows shortest over present answer time. Danger: the shortest of
+    // many short runs is chance, far below any usual one, and holds the limit down on pods that do well.
     static void set_limit(Pod& pod) {
-        const double ratio =
-            kSlack * std::min(kShortestMost, pod.answers.shortest()) / std::max(1e-9, pod.answers.present());
+        const double ratio = kSlack * std::clamp(pod.answers.shortest(), kShortestLeast, kShortestMost) /
+                             std::max(1e-9, pod.answers.present());
         const bool in_use = pod.out + 1 >= pod.limit / 2;
         pod.limit *= std::clamp(ratio, kLeastStep, 1.0);
         if (ratio >= 1 && in_use) pod.limit += 1;
--- a/tests/parsers.cpp
+++ b/tests/parsers.cpp
@@ -55,6 +55,7 @@
         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "broken"},
         {"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n", "broken"},
         {"SMTP ready, how do you do\r\n\r\n", "broken"},
+        {"SMTP ready", "broken"},
     }));
     for (std::size_t split = 0; split <= bytes.size(); ++split) REQUIRE(read_in_two(bytes, split) == text);
 }
--- a/tests/plain.cpp
+++ b/tests/plain.cpp
@@ -151,7 +151,7 @@
     open_trial(s, 0.9);
     for (int i = 0; i < 160; ++i) {
         s.serve([&](const PodId& p) {
-            return p.value > "m" && i % 3 == 0 ? Outcome::spoilt : Outcome::succeeded;
+            return p.value >= "m" && i % 3 == 0 ? Outcome::spoilt : Outcome::succeeded;
         });
         s.run(0.05);
     }
@@ -165,6 +165,21 @@
     CHECK(s.host.sent.size() == before + 2);
 }
 
+TEST_CASE("one short run by chance does not hold a pod's in-flight limit down") {
+    Sidecar s;
+    s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1)});
+    s.choice.stage_told(s.now, Build{1}, Stage{0}, Phase::released, 1, 10);
+    const auto hold = [](const PodId&) { return Outcome::succeeded; };
+    const std::size_t before = s.host.sent.size();
+    for (int i = 0; i < 120; ++i) {
+        s.serve(hold, 0, i >= 60 && i < 66 ? 0.02 : 0.05);
+        s.run(0.02);
+    }
+    REQUIRE(s.host.sent.size() == before + 120);
+    for (int i = 0; i < 4; ++i) s.take();
+    CHECK(s.host.sent.size() > before + 122);  // more than one is out at once
+}
+
 TEST_CASE("a pod that fails everything at once does not draw the work") {
     Sidecar s;
     s.choice.pods_listed(s.now, ListKind::warm_copy, {pod("a", 1), pod("b", 1), pod("c", 1)});
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -511,9 +511,8 @@
     first.take(1 << 20);
     for (auto& each : rig.members) each["phase"] = "Terminating";
     rig.change(rig.members);
-    rest(0.1);
+    CHECK(client.answer(0.3) == "!53300");  // at once, not when the connection is up or its time is over
     first.send(pg::welcome());
-    CHECK(client.answer() == "!53300");
     CHECK(first.message(0.2).first != 'Q');
 }
 
@@ -623,8 +622,11 @@
     Rig rig(1);
     rig.begin();
     rig.change(rig.members, 57);
+    json odd = pod_line("s-1", 9);
+    odd["size"] = -1;
     const std::string end =
-        GENERATE(std::string(), chunk("{no json\n"), std::string("no chunk\r\n"), chunk("[]\n"));
+        GENERATE_COPY(std::string(), chunk("{no json\n"), std::string("no chunk\r\n"), chunk("[]\n"),
+                      chunk(json{{"revision", 58}, {"complete", false}, {"members", {odd}}}.dump() + "\n"));
     rig.watch.send(end);
     if (end.empty()) rig.watch.close();
     Peer again = rig.list.take();
@@ -667,6 +669,7 @@
 
 TEST_CASE("a vote without an answer, or with one that can't be read, goes again on a fresh connection") {
     Rig rig(1);
+    rig.told["settings"]["familyInfo"]["voteWaitUs"] = 1500000;
     rig.begin();
     rig.feed.send(
         chunk(json{{"type", "ROLLOUT"}, {"object", state("canary", 42, 0.5)}}.dump() + "\n" +
@@ -681,8 +684,9 @@
         std::string(), std::string("noise"), whole_answer(200, "{\"version\":"), whole_answer(503, "?"),
         std::string("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"),
         whole_answer(200, state("canary", 42, 7).dump()), whole_answer(200, state("wrong", 42, 1).dump()));
+    const bool partial = spoilt.empty() || spoilt.back() == '{';
     votes.send(spoilt);
-    CHECK(votes.ended(1));
+    CHECK(votes.ended(partial ? 3 : 0.7));  // as soon as it can be known
     votes = rig.platform.take();
     CHECK(vote().find("\"version\":42") != std::string::npos);
     votes.send(whole_answer(429, "{\"error\":\"BUSY\"}"));
@@ -1006,6 +1010,25 @@
     CHECK(rig.status() == 0);
 }
 
+TEST_CASE("SIGHUP: a vote is heard out at the old address, the next one goes to the new one") {
+    Rig rig(1);
+    rig.told["settings"]["familyInfo"]["voteWaitUs"] = 1500000;
+    rig.begin();
+    rig.feed.send(chunk(json{{"type", "ROLLOUT"}, {"object", state("canary", 42, 0.5)}}.dump() + "\n"));
+    Peer old = rig.platform.take();
+    REQUIRE(old.upto("}").find("\"version\":42") != std::string::npos);
+    Stand platform;
+    rig.told["deployer"]["address"] = "127.0.0.1:" + std::to_string(platform.port);
+    rig.write();
+    rig.signal(SIGHUP);
+    Peer feed = platform.take();
+    CHECK_FALSE(old.ended(0.1));
+    old.send(whole_answer(429, "{\"error\":\"BUSY\"}"));
+    Peer next = platform.take(2);
+    CHECK(next.upto("}").find("\"version\":42") != std::string::npos);
+    CHECK(old.ended(1));
+}
+
 TEST_CASE("SIGHUP: what only a restart can take up is named, and the old address may end at once") {
     Rig rig(1);
     rig.begin();
