--- /dev/null
+++ b/src/cli/serve.cpp
@@ -0,0 +1,102 @@
+#include "cli/serve.hpp"
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <utility>
+
+#include "net/sidecar.hpp"
+
+namespace tideline::cli {
+namespace {
+
+using namespace tideline::net;
+
+
+class Signals : public Watcher {
+  public:
+    explicit Signals(Loop& loop) : loop_(loop) {
+        sigset_t set;
+        sigemptyset(&set);
+        sigaddset(&set, SIGTERM);
+        sigaddset(&set, SIGINT);
+        sigaddset(&set, SIGHUP);
+        sigprocmask(SIG_BLOCK, &set, nullptr);
+        std::signal(SIGPIPE, SIG_IGN);
+        fd_ = ::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+        if (fd_ >= 0) loop_.watch(fd_, this, POLLIN);
+    }
+    ~Signals() override {
+        if (fd_ >= 0) loop_.forget(fd_), ::close(fd_);
+    }
+    void ready(short) override {
+        signalfd_siginfo info;
+        while (::read(fd_, &info, sizeof info) > 0)
+            (info.ssi_signo == SIGHUP ? asked_to_read : asked_to_end) = true;
+    }
+    bool asked_to_end = false, asked_to_read = false;
+
+  private:
+    Loop& loop_;
+    int fd_ = -1;
+};
+
+// Danger: at SIGHUP the file may be missing, half written or wrong. Then what stands stays, and it is read
+// again after a while, without another line in the log.
+class Reading {
+  public:
+    Reading(Loop& loop, Log& log, Sidecar& sidecar, const std::string& path)
+        : loop_(loop), log_(log), sidecar_(sidecar), path_(path) {}
+    ~Reading() { loop_.due.cancel(again_); }
+    void begin() {
+        loop_.due.cancel(again_);
+        pause_ = kReopenFirst;
+        attempt(true);
+    }
+
+  private:
+    void attempt(bool first) {
+        again_ = Due::kNone;
+        try {
+            sidecar_.take_up(read_slip(path_));
+        } catch (const std::exception& error) {
+            if (first) log_.line("SIGHUP: {}; what stands stays, read again soon", error.what());
+            again_ = loop_.due.at(clock_now() + pause_, [this] { attempt(false); });
+            pause_ = std::min(kReopenMost, 2 * pause_);
+        }
+    }
+    Loop& loop_;
+    Log& log_;
+    Sidecar& sidecar_;
+    const std::string& path_;
+    Seconds pause_ = kReopenFirst;
+    Due::Key again_ = Due::kNone;
+};
+
+}  // namespace
+
+int serve(const ServeWish& wish) {
+    const Slip slip = read_slip(wish.told);
+    Log log(wish.log);
+    Loop loop;
+    Signals signals(loop);
+    Sidecar sidecar(loop, log, slip);
+    Reading reading(loop, log, sidecar, wish.told);
+    bool ending = false;
+    while (!sidecar.done()) {
+        loop.pass();
+        log.flush();
+        if (std::exchange(signals.asked_to_read, false) && !ending) reading.begin();
+        if (!signals.asked_to_end || ending) continue;
+        ending = true;
+        log.line("SIGTERM: serves on for {} s, then lets clients go", kLetGoAfter);
+        loop.due.at(clock_now() + kLetGoAfter, [&] { sidecar.let_go(); });
+    }
+    sidecar.report();
+    log.line("ends: all that was taken is answered");
+    log.flush();
+    return 0;
+}
+
+}  // namespace tideline::cli
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,113 +1,42 @@
-// tideline: one real sidecar. Reads what it is told at start, runs the loop, ends in order after SIGTERM.
-#include <sys/signalfd.h>
-#include <unistd.h>
-
-#include <csignal>
+// tideline: the command line. Each sub-command has a file of its own under cli/.
+#include <CLI/CLI.hpp>
 #include <cstdio>
-#include <cstdlib>
 #include <exception>
-#include <utility>
 
-#include "net/sidecar.hpp"
+#include "cli/serve.hpp"
 
 namespace {
 
 using namespace tideline;
-using namespace tideline::net;
-
-class Signals : public Watcher {
-  public:
-    explicit Signals(Loop& loop) : loop_(loop) {
-        sigset_t set;
-        sigemptyset(&set);
-        sigaddset(&set, SIGTERM);
-        sigaddset(&set, SIGINT);
-        sigaddset(&set, SIGHUP);
-        sigprocmask(SIG_BLOCK, &set, nullptr);
-        std::signal(SIGPIPE, SIG_IGN);
-        fd_ = ::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-        if (fd_ >= 0) loop_.watch(fd_, this, POLLIN);
-    }
-    ~Signals() override {
-        if (fd_ >= 0) loop_.forget(fd_), ::close(fd_);
-    }
-    void ready(short) override {
-        signalfd_siginfo info;
-        while (::read(fd_, &info, sizeof info) > 0)
-            (info.ssi_signo == SIGHUP ? asked_to_read : asked_to_end) = true;
-    }
-    bool asked_to_end = false, asked_to_read = false;
-
-  private:
-    Loop& loop_;
-    int fd_ = -1;
-};
-
-// Danger: at SIGHUP the file may be missing, half written or wrong. Then what stands stays, and it is read
-// again after a while, without another line in the log.
-class Reading {
-  public:
-    Reading(Loop& loop, Log& log, Sidecar& sidecar, const char* path)
-        : loop_(loop), log_(log), sidecar_(sidecar), path_(path) {}
-    ~Reading() { loop_.due.cancel(again_); }
-    void begin() {
-        loop_.due.cancel(again_);
-        pause_ = kReopenFirst;
-        attempt(true);
-    }
-
-  private:
-    void attempt(bool first) {
-        again_ = Due::kNone;
-        try {
-            sidecar_.take_up(read_slip(path_));
-        } catch (const std::exception& error) {
-            if (first) log_.line("SIGHUP: {}; what stands stays, read again soon", error.what());
-            again_ = loop_.due.at(clock_now() + pause_, [this] { attempt(false); });
-            pause_ = std::min(kReopenMost, 2 * pause_);
-        }
-    }
-    Loop& loop_;
-    Log& log_;
-    Sidecar& sidecar_;
-    const char* path_;
-    Seconds pause_ = kReopenFirst;
-    Due::Key again_ = Due::kNone;
-};
 
-int serve(const char* path) {
-    const Slip slip = read_slip(path);
-    Log log;
-    Loop loop;
-    Signals signals(loop);
-    Sidecar sidecar(loop, log, slip);
-    Reading reading(loop, log, sidecar, path);
-    bool ending = false;
-    while (!sidecar.done()) {
-        loop.pass();
-        log.flush();
-        if (std::exchange(signals.asked_to_read, false) && !ending) reading.begin();
-        if (!signals.asked_to_end || ending) continue;
-        ending = true;
-        log.line("SIGTERM: serves on for {} s, then lets clients go", kLetGoAfter);
-        loop.due.at(clock_now() + kLetGoAfter, [&] { sidecar.let_go(); });
-    }
-    sidecar.report();
-    log.line("ends: all that was taken is answered");
-    log.flush();
-    return 0;
+void add_sidecar(CLI::App& app, cli::ServeWish& wish) {
+    app.add_option("--config", wish.told, "what it is told at start, a JSON file")->envname("PROXY_CONFIG");
+    app.add_option("--fleet", wish.fleet, "operator file of the fleet; without it the fleet is off")
+        ->envname("TIDELINE_FLEET");
+    app.add_flag("--log-json", [&wish](auto) { wish.log = net::Log::Form::json; },
+                 "the log as one JSON object a line");
 }
 
 }  // namespace
 
-int main() {
-    const char* path = std::getenv("PROXY_CONFIG");
-    if (!path) {
-        std::fprintf(stderr, "tideline: PROXY_CONFIG does not name a file\n");
-        return 2;
+int main(int argc, char** argv) {
+    CLI::App app("Routes invocations over pods and judges builds on trial.", "tideline");
+    app.require_subcommand(0, 1);
+    cli::ServeWish serve;
+    add_sidecar(app, serve);
+    CLI::App* sidecar = app.add_subcommand("sidecar", "one real sidecar; what `tideline` alone is too");
+    add_sidecar(*sidecar, serve);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? 0 : 2;
     }
     try {
-        return serve(path);
+        if (serve.told.empty()) {
+            std::fprintf(stderr, "tideline: neither --config nor PROXY_CONFIG names a file\n");
+            return 2;
+        }
+        return cli::serve(serve);
     } catch (const std::exception& error) {
         std::fprintf(stderr, "tideline: %s\n", error.what());
         return 1;
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -1,38 +1,101 @@
 #include "net/log.hpp"
 
 #include <poll.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/logger.h>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/base_sink.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <climits>
+#include <nlohmann/json.hpp>
 
 #include "net/limits.hpp"
-#include "net/loop.hpp"
 
 namespace tideline::net {
+namespace {
 
-void Log::add(const std::string& text) {
-    const std::string line = fmt::format("{:.3f} {}\n", clock_now(), text);
-    if (held_.size() + line.size() > kLogHeld) {
-        ++dropped_;
-        return;
-    }
-    if (dropped_ > 0) held_ += fmt::format("{:.3f} {} log lines dropped\n", clock_now(), dropped_);
-    dropped_ = 0;
-    held_ += line;
-    flush();
+double unix_time(const spdlog::details::log_msg& message) {
+    return std::chrono::duration<double>(message.time.time_since_epoch()).count();
 }
 
-// A pipe that polls as writable takes PIPE_BUF bytes without blocking.
-void Log::flush() {
-    while (!held_.empty()) {
-        pollfd out{STDERR_FILENO, POLLOUT, 0};
-        if (::poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT)) return;
-        const ssize_t sent =
-            ::write(STDERR_FILENO, held_.data(), std::min<std::size_t>(held_.size(), PIPE_BUF));
-        if (sent <= 0) return;
-        held_.erase(0, static_cast<std::size_t>(sent));
+class ForPeople : public spdlog::formatter {
+  public:
+    void format(const spdlog::details::log_msg& message, spdlog::memory_buf_t& to) override {
+        fmt::format_to(std::back_inserter(to), "{:.3f} {}{}\n", unix_time(message),
+                       message.level >= spdlog::level::warn ? "ALARM " : "",
+                       std::string_view(message.payload.data(), message.payload.size()));
+    }
+    std::unique_ptr<formatter> clone() const override { return std::make_unique<ForPeople>(); }
+};
+
+class ForMachines : public spdlog::formatter {
+  public:
+    void format(const spdlog::details::log_msg& message, spdlog::memory_buf_t& to) override {
+        const nlohmann::ordered_json line = {
+            {"time", std::round(unix_time(message) * 1e3) * 1e-3},
+            {"level", message.level >= spdlog::level::warn ? "alarm" : "info"},
+            {"text", std::string(message.payload.data(), message.payload.size())}};
+        // Danger: names that clients or pods chose may be no UTF-8.
+        const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        to.append(text.data(), text.data() + text.size());
+        to.push_back('\n');
+    }
+    std::unique_ptr<formatter> clone() const override { return std::make_unique<ForMachines>(); }
+};
+
+// Holds what standard error does not take at once.
+class Held : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+  public:
+    void write_out() {
+        // A pipe that polls as writable takes PIPE_BUF bytes without blocking.
+        while (!held_.empty()) {
+            pollfd out{STDERR_FILENO, POLLOUT, 0};
+            if (::poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT)) return;
+            const ssize_t sent =
+                ::write(STDERR_FILENO, held_.data(), std::min<std::size_t>(held_.size(), PIPE_BUF));
+            if (sent <= 0) return;
+            held_.erase(0, static_cast<std::size_t>(sent));
+        }
+    }
+    long dropped = 0;
+
+  protected:
+    void sink_it_(const spdlog::details::log_msg& message) override {
+        spdlog::memory_buf_t line;
+        formatter_->format(message, line);
+        if (held_.size() + line.size() > kLogHeld)
+            ++dropped;
+        else
+            held_.append(line.data(), line.size());
     }
+    void flush_() override { write_out(); }
+
+  private:
+    std::string held_;
+};
+
+}  // namespace
+
+struct Log::Parts {
+    std::shared_ptr<Held> held = std::make_shared<Held>();
+    spdlog::logger logger{"tideline", held};
+};
+
+Log::Log(Form form) : parts_(std::make_unique<Parts>()) {
+    parts_->logger.set_formatter(form == Form::json ? std::unique_ptr<spdlog::formatter>(new ForMachines)
+                                                    : std::make_unique<ForPeople>());
 }
+Log::~Log() { flush(); }
+
+void Log::add(bool alarm, const std::string& text) {
+    if (const long dropped = std::exchange(parts_->held->dropped, 0); dropped > 0)
+        parts_->logger.warn("{} log lines dropped", dropped);
+    parts_->logger.log(alarm ? spdlog::level::warn : spdlog::level::info, "{}", text);
+    flush();
+}
+
+void Log::flush() { parts_->held->write_out(); }
 
 }  // namespace tideline::net
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -1,9 +1,10 @@
-// The logger: lines to standard error, by fmt. It never blocks the loop: what can't be written is held up to
-// a bound, then dropped and counted.
+// Logging, on spdlog: a line for people, or a JSON object a line. It never blocks the loop: what standard
+// error doesn't take is held up to a bound, then dropped and counted.
 #pragma once
 
 #include <fmt/core.h>
 
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -11,16 +12,25 @@
 
 class Log {
   public:
+    enum class Form { lines, json };
+    explicit Log(Form form = Form::lines);
+    ~Log();
+    // What happened.
     template <class... Parts>
     void line(fmt::format_string<Parts...> form, Parts&&... parts) {
-        add(fmt::format(form, std::forward<Parts>(parts)...));
+        add(false, fmt::format(form, std::forward<Parts>(parts)...));
+    }
+    // What somebody has to look at.
+    template <class... Parts>
+    void alarm(fmt::format_string<Parts...> form, Parts&&... parts) {
+        add(true, fmt::format(form, std::forward<Parts>(parts)...));
     }
     void flush();
 
   private:
-    void add(const std::string& text);
-    std::string held_;
-    long dropped_ = 0;
+    void add(bool alarm, const std::string& text);
+    struct Parts;
+    std::unique_ptr<Parts> parts_;
 };
 
 }  // namespace tideline::net
