--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -13,7 +13,6 @@
 
 using namespace tideline::net;
 
-
 class Signals : public Watcher {
   public:
     explicit Signals(Loop& loop) : loop_(loop) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,8 +13,9 @@
     app.add_option("--config", wish.told, "what it is told at start, a JSON file")->envname("PROXY_CONFIG");
     app.add_option("--fleet", wish.fleet, "operator file of the fleet; without it the fleet is off")
         ->envname("TIDELINE_FLEET");
-    app.add_flag("--log-json", [&wish](auto) { wish.log = net::Log::Form::json; },
-                 "the log as one JSON object a line");
+    app.add_flag(
+        "--log-json", [&wish](auto) { wish.log = net::Log::Form::json; },
+        "the log as one JSON object a line");
 }
 
 }  // namespace
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -37,6 +37,13 @@
     return Address{host.s_addr, htons(port)};
 }
 
+std::string text_of(const Address& address) {
+    char host[INET_ADDRSTRLEN] = {};
+    const in_addr from{address.host};
+    ::inet_ntop(AF_INET, &from, host, sizeof host);
+    return std::string(host) + ":" + std::to_string(ntohs(address.port));
+}
+
 int listen_at(const Address& address) {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0) return -1;
--- a/src/net/link.hpp
+++ b/src/net/link.hpp
@@ -17,6 +17,7 @@
     bool operator==(const Address&) const = default;
 };
 std::optional<Address> address_of(const std::string& text);
+std::string text_of(const Address& address);
 int listen_at(const Address& address);  // -1 with errno set
 
 class Link : public Watcher {
--- /dev/null
+++ b/tools/stand/client.hpp
@@ -0,0 +1,47 @@
+// A stand-in for clients of one sidecar: sends invocations at a rate, keeps what came of each.
+#pragma once
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "net/link.hpp"
+#include "words.hpp"
+
+namespace tideline::stand {
+
+enum class Came { nothing, succeeded, throttled, terminated, wrong };
+struct Asked {
+    Seconds at = 0, took = 0, limit = 0;
+    Came came = Came::nothing;
+    int answers = 0;
+    int build = 0;
+};
+
+class ClientStand {
+  public:
+    // `customer` goes into each statement, so that pods can tell whose invocation it is.
+    ClientStand(net::Loop& loop, net::Address sidecar, std::string customer, std::uint32_t seed);
+    ~ClientStand();
+    void begin(double rate);   // invocations a second
+    void stop();               // no further ones
+    std::size_t open() const;  // sent and not answered
+    std::vector<Asked> asked;
+    Seconds limit = 1.5;  // s: the time limit told
+
+  private:
+    class Connection;
+    void next();
+    void send();
+    void drop(Connection* which);
+    net::Loop& loop_;
+    const net::Address sidecar_;
+    const std::string customer_;
+    std::ranlux24_base chance_;
+    std::vector<std::unique_ptr<Connection>> links_;
+    double rate_ = 0;
+    net::Due::Key next_ = net::Due::kNone;
+};
+
+}  // namespace tideline::stand
--- /dev/null
+++ b/tools/stand/http_peer.hpp
@@ -0,0 +1,56 @@
+// The server's side of HTTP/1.1 as far as the stand-ins for list and platform need it.
+#pragma once
+
+#include <charconv>
+#include <string>
+
+#include "stand/server.hpp"
+
+namespace tideline::stand {
+
+// Owner: void asked(HttpPeer<Owner>&, method, path, body); void went(int no).
+template <class Owner>
+class HttpPeer : public net::Link {
+  public:
+    HttpPeer(net::Loop& loop, Owner& owner, int number) : Link(loop), no(number), owner_(owner) {}
+    const int no;
+    bool streams = false;  // its answer stays open
+
+    void answer(int status, const std::string& body) {
+        put("HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: " + std::to_string(body.size()) +
+            "\r\n\r\n" + body);
+    }
+    void stream() {
+        streams = true;
+        put("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+    void line(const std::string& text) {
+        char size[20];
+        const auto end = std::to_chars(size, size + sizeof size, text.size() + 1, 16).ptr;
+        put(std::string(size, end) + "\r\n" + text + "\n\r\n");
+    }
+
+  protected:
+    void came_in() override {
+        while (!closed()) {
+            const std::string_view all = in_.all();
+            const auto end = all.find("\r\n\r\n");
+            if (end == std::string_view::npos) return;
+            std::size_t length = 0;
+            if (const auto at = all.find("Content-Length: "); at < end)
+                std::from_chars(all.data() + at + 16, all.data() + end, length);
+            if (all.size() < end + 4 + length) return;
+            const auto space = all.find(' '), second = all.find(' ', space + 1);
+            const std::string method(all.substr(0, space)), path(all.substr(space + 1, second - space - 1)),
+                body(all.substr(end + 4, length));
+            in_.drop(end + 4 + length);
+            owner_.asked(*this, method, path, body);
+        }
+    }
+    void ended() override { owner_.went(no); }
+
+  private:
+    Owner& owner_;
+};
+
+}  // namespace tideline::stand
--- /dev/null
+++ b/tools/stand/list.hpp
@@ -0,0 +1,39 @@
+// A stand-in for the list of pods. Each sidecar has a door of its own, which can be kept from telling.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "stand/http_peer.hpp"
+
+namespace tideline::stand {
+
+class ListStand {
+  public:
+    explicit ListStand(net::Loop& loop);
+    ~ListStand();
+    // The door's number; -1 if nothing can be opened there.
+    int open_door(const net::Address& address);
+    // A muted door still gives signs of life, but tells no change and the list as it was.
+    void mute(int door, bool muted);
+    void put(const nlohmann::json& member);  // one more, or changed; told at once
+    void gone(const std::string& id);
+    nlohmann::json whole() const;
+    std::int64_t revision() const { return revision_; }
+
+  private:
+    struct Door;
+    void tell(const nlohmann::json& member);
+    void beat();
+    net::Loop& loop_;
+    std::vector<std::unique_ptr<Door>> doors_;
+    std::map<std::string, nlohmann::json> members_;
+    std::vector<std::pair<std::int64_t, nlohmann::json>> told_;  // changes, each with its revision
+    std::int64_t revision_ = 1;
+    net::Due::Key beat_ = net::Due::kNone;
+};
+
+}  // namespace tideline::stand
--- /dev/null
+++ b/tools/stand/pod.hpp
@@ -0,0 +1,38 @@
+// A stand-in for a pod: speaks PostgreSQL's protocol, serves after a while, keeps what it ran.
+#pragma once
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "stand/server.hpp"
+#include "words.hpp"
+
+namespace tideline::stand {
+
+struct Ran {  // a dispatch that arrived whole
+    Seconds at = 0;
+    std::string inv;       // its id in the statement
+    std::string customer;  // rigs name the sidecar there
+};
+
+class PodStand {
+  public:
+    PodStand(net::Loop& loop, std::uint32_t seed);
+    ~PodStand();
+    bool listen(const net::Address& address);
+    void close();  // as a process that dies
+
+    Seconds least = 0.004, most = 0.012;  // how long an answer takes
+    double failing = 0;                   // share of dispatches that end in an error
+    std::vector<Ran> ran;
+
+  private:
+    class Connection;
+    friend class Server<Connection, PodStand>;
+    double draw() { return static_cast<double>(chance_()) / static_cast<double>(chance_.max()); }
+    std::unique_ptr<Server<Connection, PodStand>> server_;
+    std::ranlux24_base chance_;
+};
+
+}  // namespace tideline::stand
--- /dev/null
+++ b/tools/stand/process.cpp
@@ -0,0 +1,55 @@
+#include "stand/process.hpp"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+
+namespace tideline::stand {
+namespace {
+
+int status_of(int status) { return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status); }
+
+}  // namespace
+
+Process::~Process() {
+    if (!runs()) return;
+    ::kill(pid_, SIGKILL);
+    wait();
+}
+
+void Process::start(const std::vector<std::string>& command, const std::string& log_path) {
+    status_.reset();
+    std::vector<char*> words;
+    for (const std::string& word : command) words.push_back(const_cast<char*>(word.c_str()));
+    words.push_back(nullptr);
+    const pid_t parent = ::getpid();
+    pid_ = ::fork();
+    if (pid_ != 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // Danger: a rig that dies must not leave its processes behind.
+    if (::getppid() != parent) ::_exit(127);
+    sigset_t none;
+    sigemptyset(&none);
+    ::sigprocmask(SIG_SETMASK, &none, nullptr);
+    const int log = ::open(log_path.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
+    if (log >= 0) ::dup2(log, STDERR_FILENO);
+    ::execv(words[0], words.data());
+    ::_exit(127);
+}
+void Process::signal(int which) const {
+    if (pid_ > 0 && !status_) ::kill(pid_, which);
+}
+std::optional<int> Process::ended() {
+    int status = 0;
+    if (pid_ > 0 && !status_ && ::waitpid(pid_, &status, WNOHANG) == pid_) status_ = status_of(status);
+    return status_;
+}
+int Process::wait() {
+    int status = 0;
+    if (pid_ > 0 && !status_ && ::waitpid(pid_, &status, 0) == pid_) status_ = status_of(status);
+    return status_.value_or(-1);
+}
+
+}  // namespace tideline::stand
--- /dev/null
+++ b/tools/try/main.cpp
@@ -0,0 +1,171 @@
+// `make try`: sidecars between the project's stand-ins for pods, list, platform and clients, a rollout, and a
+// table of what came of it. Loopback only; ends by itself.
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <map>
+
+#include "stand/client.hpp"
+#include "stand/list.hpp"
+#include "stand/platform.hpp"
+#include "stand/pod.hpp"
+#include "stand/process.hpp"
+#include "stand/slips.hpp"
+
+namespace {
+
+using namespace tideline;
+using namespace tideline::stand;
+
+constexpr int kOld = 41, kNew = 42;  // builds
+constexpr int kPodsEach = 4;         // pods of each build
+constexpr int kPodPort = 5432, kListPort = 8500, kPlatformPort = 6400, kClientPort = 5433;
+constexpr Seconds kBefore = 2;        // s: before the new build is offered
+constexpr Seconds kReadyWithin = 10;  // s: for sidecars to start
+
+struct Wish {
+    std::string program = "build/tideline";
+    int sidecars = 2;
+    double rate = 60;  // invocations a second and sidecar
+    Seconds length = 9;
+    bool bad = false;
+};
+
+double quantile_of(std::vector<double> values, double part) {
+    if (values.empty()) return 0;
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
+}
+
+int run(const Wish& wish) {
+    std::signal(SIGPIPE, SIG_IGN);
+    char folder[] = "/tmp/tideline-try-XXXXXX";
+    if (!::mkdtemp(folder)) throw std::runtime_error("no folder under /tmp");
+    net::Loop loop;
+    ListStand list(loop);
+    PlatformStand platform(loop);
+    std::vector<std::unique_ptr<PodStand>> pods;
+    const auto add_pods = [&](int build) {
+        for (int i = 0; i < kPodsEach; ++i) {
+            const int host = 512 + static_cast<int>(pods.size());
+            pods.push_back(std::make_unique<PodStand>(loop, static_cast<std::uint32_t>(host)));
+            if (!pods.back()->listen(at_port(host, kPodPort)))
+                throw std::runtime_error("can't listen for pods");
+            if (wish.bad && build == kNew) pods.back()->failing = 0.4;
+            list.put(pod_entry(fmt::format("pod-{}", pods.size()), text_of(at_port(host, kPodPort)), build));
+        }
+    };
+    add_pods(kOld);
+    platform.on_votes = std::max(1, wish.sidecars / 2 + 1);
+    std::vector<std::unique_ptr<Process>> sidecars;
+    std::vector<std::unique_ptr<ClientStand>> clients;
+    for (int i = 0; i < wish.sidecars; ++i) {
+        const int host = 256 + i;
+        if (list.open_door(at_port(host, kListPort)) < 0 ||
+            platform.open_door(at_port(host, kPlatformPort)) < 0)
+            throw std::runtime_error("can't listen for list and platform");
+        const nlohmann::json told = {
+            {"name", fmt::format("n{}", i)},
+            {"listen", text_of(at_port(host, kClientPort))},
+            {"discovery", text_of(at_port(host, kListPort))},
+            {"seed", fmt::format("{:x}", 1000 + i)},
+            {"limits", {{"sockets", 512}}},
+            {"deployer", {{"address", text_of(at_port(host, kPlatformPort))}, {"news", platform.state()}}},
+            {"known", list.whole()},
+            {"settings", settings(wish.sidecars)}};
+        const std::string path = fmt::format("{}/n{}.json", folder, i);
+        std::ofstream(path) << told.dump(1);
+        sidecars.push_back(std::make_unique<Process>());
+        sidecars.back()->start({wish.program, "sidecar", "--config", path},
+                               fmt::format("{}/n{}.log", folder, i));
+        clients.push_back(std::make_unique<ClientStand>(
+            loop, at_port(host, kClientPort), fmt::format("c{}", i), static_cast<std::uint32_t>(7 + i)));
+    }
+    const auto pass_until = [&](Seconds until) {
+        bool on = true;
+        loop.due.at(until, [&on] { on = false; });
+        while (on) loop.pass();
+    };
+    pass_until(net::clock_now() + 0.5);
+    for (const auto& each : sidecars)
+        if (!each->runs()) throw std::runtime_error(fmt::format("a sidecar did not start, see {}", folder));
+    for (auto& each : clients) each->begin(wish.rate);
+    const Seconds start = net::clock_now();
+    fmt::print("{} sidecars, {} pods of build {}, {:.0f} invocations a second; build {} comes after {} s{}\n",
+               wish.sidecars, kPodsEach, kOld, wish.rate * wish.sidecars, kNew, kBefore,
+               wish.bad ? " and fails 40%" : "");
+    pass_until(start + kBefore);
+    add_pods(kNew);
+    platform.offer(kNew);
+    pass_until(start + wish.length);
+    for (auto& each : clients) each->stop();
+    pass_until(net::clock_now() + 1.6);
+
+    fmt::print("\n{:8} {:>6} {:>10} {:>10} {:>11} {:>10} {:>8} {:>8} {:>16}\n", "sidecar", "taken",
+               "succeeded", "throttled", "terminated", "unanswered", "p50 ms", "p99 ms", "votes");
+    std::size_t unanswered = 0, succeeded = 0;
+    for (std::size_t i = 0; i < clients.size(); ++i) {
+        std::map<Came, int> count;
+        std::vector<double> took;
+        for (const Asked& each : clients[i]->asked) {
+            ++count[each.came];
+            if (each.came == Came::succeeded) took.push_back(each.took * 1e3);
+        }
+        std::map<std::string, int> votes;
+        for (const Ballot& each : platform.ballots)
+            if (each.door == static_cast<int>(i))
+                ++votes[each.vote == "approve" ? "on" : each.vote == "reject" ? "back" : "none"];
+        std::string voted;
+        for (const auto& [vote, times] : votes)
+            voted += fmt::format("{}{} x{}", voted.empty() ? "" : ", ", vote, times);
+        fmt::print("{:8} {:>6} {:>10} {:>10} {:>11} {:>10} {:>8.1f} {:>8.1f} {:>16}\n", fmt::format("n{}", i),
+                   clients[i]->asked.size(), count[Came::succeeded], count[Came::throttled],
+                   count[Came::terminated], count[Came::nothing] + count[Came::wrong], quantile_of(took, 0.5),
+                   quantile_of(took, 0.99), voted);
+        unanswered += static_cast<std::size_t>(count[Came::nothing] + count[Came::wrong]);
+        succeeded += static_cast<std::size_t>(count[Came::succeeded]);
+    }
+    const auto state = platform.state();
+    fmt::print("\nbuild {}: {}, stage {}, cap {}\n", state["version"].get<int>(),
+               state["status"].get<std::string>(), state["step"].get<int>(),
+               state["maxWeight"].get<double>());
+    int bad_end = 0;
+    for (auto& each : sidecars) each->signal(SIGTERM);
+    pass_until(net::clock_now() + 1.5);
+    for (auto& each : sidecars) bad_end += each->ended() != std::optional<int>(0);
+    if (bad_end) fmt::print("{} sidecars did not end in order, see {}\n", bad_end, folder);
+    const std::string wanted = wish.bad ? "revert" : "stable";
+    const bool good = unanswered == 0 && succeeded > 0 && !bad_end && state["version"] == kNew &&
+                      state["status"].get<std::string>().starts_with(wanted);
+    if (good) std::filesystem::remove_all(folder);
+    fmt::print("{}\n", good ? "all as it should be" : fmt::format("not as it should be; logs in {}", folder));
+    return good ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    Wish wish;
+    CLI::App app("Sidecars between stand-ins, through a rollout.", "tideline_try");
+    app.add_option("--program", wish.program, "the sidecar's program")
+        ->check(CLI::ExistingFile)
+        ->capture_default_str();
+    app.add_option("--sidecars", wish.sidecars, "how many")->check(CLI::Range(1, 20))->capture_default_str();
+    app.add_option("--rate", wish.rate, "invocations a second and sidecar")
+        ->check(CLI::Range(1, 500))
+        ->capture_default_str();
+    app.add_option("--length", wish.length, "seconds")->check(CLI::Range(6, 120))->capture_default_str();
+    app.add_flag("--bad", wish.bad, "the new build fails 40% of its dispatches");
+    CLI11_PARSE(app, argc, argv);
+    try {
+        return run(wish);
+    } catch (const std::exception& error) {
+        fmt::print(stderr, "tideline_try: {}\n", error.what());
+        return 1;
+    }
+}
