--- /dev/null
+++ b/src/audit/currency.cpp
@@ -0,0 +1,294 @@
+#include "audit/currency.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tideline::audit {
+namespace {
+
+constexpr std::size_t kActedKept =
+    64;                                // marks: for as long a list at ten changes a second is vouched for 6 s
+constexpr double kSeekPart = 0.5;      // of the grace: a member that lags by itself asks for what it lacks
+constexpr double kOfferGraces = 2;     // graces: an offer that nobody vouches for by then is dropped
+constexpr std::size_t kOrderMost = 8;  // members: those who may rule, one after the other
+constexpr int kWordsATick = 2;         // members asked for their word: bounded, whatever the fleet's size
+constexpr double kFreshGraces = 2;     // graces: an older word is no ground to rule on
+
+constexpr Subject kSubjects[] = {Subject::list, Subject::news};
+
+}  // namespace
+
+Currency::Currency(CurrencyHost& host, const CurrencyTerms& terms, Name self, Seconds now)
+    : host_(&host), terms_(terms), self_(std::move(self)), start_(now) {}
+Currency::Currency(const Currency& other, CurrencyHost& host) : Currency(other) { host_ = &host; }
+
+std::uint64_t Currency::rank(Subject subject) const {
+    const auto it = acted_.find(subject);
+    return it == acted_.end() ? 0 : it->second.back().rank;
+}
+std::uint64_t Currency::word(const Peer& peer, Subject subject) const {
+    const auto it = peer.words.find(subject);
+    return it == peer.words.end() ? 0 : it->second.rank;
+}
+bool Currency::below(const Peer& peer) const {
+    return std::any_of(std::begin(kSubjects), std::end(kSubjects),
+                       [&](Subject s) { return word(peer, s) < floors_.at(s); });
+}
+bool Currency::vouches(Subject subject, const Mark& mark) const {
+    const auto it = acted_.find(subject);
+    return it != acted_.end() && std::find(it->second.begin(), it->second.end(), mark) != it->second.end();
+}
+
+// --- The floor
+// Danger: one wrong or mad member that names a version nobody has would shut out all others. So the floor is
+// what so many members say they act on, each by its own word and once; and it never falls.
+void Currency::raise_floors(Seconds now) {
+    for (const Subject subject : kSubjects) {
+        std::vector<std::uint64_t> ranks{rank(subject)};
+        for (const auto& [name, peer] : peers_) ranks.push_back(word(peer, subject));
+        const auto nth = static_cast<std::size_t>(terms_.witnesses - 1);
+        if (ranks.size() <= nth) continue;
+        std::nth_element(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(nth), ranks.end(),
+                         std::greater<>());
+        floors_[subject] = std::max(floors_[subject], ranks[nth]);
+        if (self_below(subject))
+            self_behind_.try_emplace(subject, now);
+        else
+            self_behind_.erase(subject);
+    }
+    for (auto& [name, peer] : peers_) note_behind(now, peer);
+}
+void Currency::note_behind(Seconds now, Peer& peer) {
+    if (peer.words.empty() || !below(peer))
+        peer.behind_since = -1;
+    else if (peer.behind_since < 0)
+        peer.behind_since = now;
+}
+
+void Currency::acts_on(Seconds now, Subject subject, const Mark& mark) {
+    auto& marks = acted_[subject];
+    if (!marks.empty() && mark.rank < marks.back().rank)
+        return host_->alarm(subject == Subject::list ? "the list counts from a lower revision than before"
+                                                     : "the platform told older news than before");
+    if (!marks.empty() && mark.rank == marks.back().rank)
+        marks.back() = mark;
+    else
+        marks.push_back(mark);
+    if (marks.size() > kActedKept) marks.erase(marks.begin());
+    if (const auto it = offers_.find(subject); it != offers_.end() && it->second.mark.rank <= mark.rank)
+        offers_.erase(it);
+    raise_floors(now);
+    take_stand(now);
+}
+
+void Currency::heard(Seconds now, const Name& name, const Life& life, const Mark& list, const Mark& news) {
+    if (name == self_) return;
+    Peer& peer = peers_[name];
+    if (life < peer.life) return;
+    // A life that begins anew may well begin behind.
+    if (life > peer.life) peer = Peer{}, peer.life = life;
+    peer.heard = now;
+    // Within a life nothing goes back; a word that does is of no use as evidence.
+    if (list.rank >= word(peer, Subject::list)) peer.words[Subject::list] = list;
+    if (news.rank >= word(peer, Subject::news)) peer.words[Subject::news] = news;
+    raise_floors(now);
+    if (peer.ruled && below(peer)) host_->refuse(name);
+    take_stand(now);
+}
+void Currency::known(Seconds, const fleet::Entry& entry) {
+    if (entry.name == self_) return;
+    Peer& peer = peers_[entry.name];
+    if (entry.life < peer.life) return;
+    if (entry.life > peer.life) peer = Peer{}, peer.life = entry.life;
+    peer.standing = entry.standing, peer.ruled = entry.out;
+    peer.hearsay = entry.version;
+}
+
+// --- Bringing up
+std::vector<Name> Currency::ahead(Subject subject, std::uint64_t least) const {
+    std::vector<Name> names;
+    for (const auto& [name, peer] : peers_)
+        if (present(peer) && !(peer.ruled && below(peer)) && word(peer, subject) >= least)
+            names.push_back(name);
+    return names;
+}
+// Danger: what one member hands over may be wrong. It is taken up only once as many vouch for just that
+// content as it takes to raise the floor, and only if it is newer than what this member acts on.
+void Currency::bring_up(Seconds now) {
+    for (const Subject subject : kSubjects) {
+        if (const auto it = offers_.find(subject);
+            it != offers_.end() && now > it->second.at + kOfferGraces * terms_.grace)
+            offers_.erase(it);
+        const auto since = self_behind_.find(subject);
+        if (since == self_behind_.end() || now < since->second + kSeekPart * terms_.grace) continue;
+        Seconds& sought = sought_.try_emplace(subject, -1e18).first->second;
+        if (now < sought + kSeekPart * terms_.grace) continue;
+        const auto names = ahead(subject, floors_.at(subject));
+        if (names.empty()) continue;
+        sought = now;
+        host_->ask_for(names[turn_++ % names.size()], subject);
+    }
+}
+void Currency::handed_over(Seconds now, const Name& by, Subject subject, const Mark& mark) {
+    if (mark.rank <= rank(subject) || !peers_.contains(by)) return;
+    Offer& offer = offers_[subject];
+    offer = {mark, {by}, now};
+    int asked = 0;
+    for (const Name& name : ahead(subject, mark.rank))
+        if (name != by && asked++ < 2 * terms_.witnesses) host_->ask_vouch(name, subject, mark);
+    vouched(now, by, subject, mark, true);
+}
+void Currency::vouched(Seconds now, const Name& by, Subject subject, const Mark& mark, bool yes) {
+    const auto it = offers_.find(subject);
+    if (it == offers_.end() || it->second.mark != mark || !yes || !peers_.contains(by)) return;
+    const Peer& peer = peers_.at(by);
+    if (peer.ruled && below(peer)) return;
+    it->second.by.insert(by);
+    // The floor may stand on this member's own word too; what it lacks can't.
+    if (static_cast<int>(it->second.by.size()) < terms_.witnesses) return;
+    offers_.erase(it);
+    if (mark.rank <= rank(subject)) return;
+    host_->take_up(subject, mark);
+    acts_on(now, subject, mark);
+}
+
+// --- Shutting out
+std::size_t Currency::out() const {
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](auto& each) {
+        return present(each.second) && each.second.ruled && below(each.second);
+    }));
+}
+// Where this member stands among those who may rule: present, not behind, by name.
+std::size_t Currency::order_of_self() const {
+    std::size_t before = 0;
+    for (const auto& [name, peer] : peers_)
+        before +=
+            name < self_ && peer.standing == fleet::Standing::present && !peer.words.empty() && !below(peer);
+    return before;
+}
+void Currency::judge_peers(Seconds now) {
+    const Seconds fresh = now - kFreshGraces * terms_.grace;
+    // Hearsay only says whom to ask; a member that was not heard for long is asked too, a few at a time.
+    int words = 0;
+    for (auto& [name, peer] : peers_) {
+        const bool lags = peer.hearsay.list.value < floors_.at(Subject::list) ||
+                          peer.hearsay.news.value < floors_.at(Subject::news) || peer.behind_since >= 0;
+        if (!present(peer) || !lags || peer.heard > fresh || now < peer.asked + terms_.grace) continue;
+        if (++words > kWordsATick) break;
+        peer.asked = now;
+        host_->ask_word(name);
+    }
+    if (self_below(Subject::list) || self_below(Subject::news) || stand_ != Stand::open) return;
+    const std::size_t order = order_of_self();
+    if (order >= kOrderMost) return;
+    const Seconds turn = static_cast<double>(order) * terms_.out_after;
+
+    std::size_t all = 1, lost = 0;
+    std::vector<std::pair<Seconds, Name>> lagging;
+    for (auto& [name, peer] : peers_) {
+        if (peer.standing == fleet::Standing::left) continue;
+        ++all;
+        lost += !present(peer) || (peer.ruled && below(peer));
+        if (!present(peer) || peer.heard < fresh) continue;
+        if (!peer.ruled && peer.behind_since >= 0 &&
+            now > peer.behind_since + terms_.grace + terms_.out_after + turn)
+            lagging.emplace_back(peer.behind_since, name);
+        // Proof of currency: its own word, and the content is what this member acted on too.
+        const bool proven = std::all_of(std::begin(kSubjects), std::end(kSubjects), [&](Subject s) {
+            const auto it = peer.words.find(s);
+            return it != peer.words.end() && (it->second.rank == 0 || vouches(s, it->second));
+        });
+        if (peer.ruled && !below(peer) && proven &&
+            now > peer.heard + static_cast<double>(order) * terms_.grace / 4) {
+            peer.ruled = false;
+            host_->rule(name, peer.life, false);
+        }
+    }
+    std::sort(lagging.begin(), lagging.end());
+    // Danger: a fleet of which half lags would shut out that half, and the rest could not carry the work.
+    // Those that are gone count too, so that of two parts of a split at most the larger one can rule.
+    const auto bound = static_cast<std::size_t>(terms_.most_out * static_cast<double>(all));
+    for (const auto& [since, name] : lagging) {
+        if (lost + 1 > bound) {
+            if (!std::exchange(bound_told_, true))
+                host_->alarm("stragglers stay in: " + std::to_string(lagging.size()) + " more lag, and of " +
+                             std::to_string(all) + " members no more than " + std::to_string(bound) +
+                             " may be shut out or gone");
+            return;
+        }
+        ++lost;
+        Peer& peer = peers_.at(name);
+        peer.ruled = true;
+        host_->rule(name, peer.life, true);
+        host_->alarm("member " + name.value + " is shut out: behind the floor for " +
+                     std::to_string(static_cast<int>(now - since)) + " s");
+    }
+    if (lagging.empty()) bound_told_ = false;
+}
+
+// --- This member's own stand
+void Currency::ruled_out(Seconds now, bool out) {
+    ruled_ = out;
+    if (!out) refusals_.clear();
+    take_stand(now);
+}
+void Currency::refused(Seconds now, const Name& by) {
+    refusals_[by] = now;
+    take_stand(now);
+}
+// Only ever more careful than alone: with no trial beyond the first stage where it can't tell or lags on the
+// list; with no trial at all where its news is known to be old, or where it was shut out and can't deny it.
+void Currency::take_stand(Seconds now) {
+    const auto late = [&](Subject subject) {
+        const auto it = self_behind_.find(subject);
+        return it != self_behind_.end() && now >= it->second + terms_.grace;
+    };
+    const auto heard = [&](const Peer& peer) { return peer.heard > now - terms_.blind_after; };
+    std::size_t voices = 1, all = 1;
+    for (const auto& [name, peer] : peers_) {
+        all += peer.standing != fleet::Standing::left;
+        voices += heard(peer);
+    }
+    const auto needed = std::min(static_cast<std::size_t>(terms_.witnesses), all);
+    const bool blind = now > start_ + terms_.blind_after && voices < needed;
+    const bool below_floor = self_below(Subject::list) || self_below(Subject::news);
+    const auto refusers = std::count_if(refusals_.begin(), refusals_.end(),
+                                        [&](auto& each) { return each.second > now - terms_.blind_after; });
+    const bool shut_out = (ruled_ && (below_floor || blind)) || refusers >= terms_.witnesses;
+    const Stand wanted = shut_out || late(Subject::news) ? Stand::no_trial
+                         : late(Subject::list) || blind  ? Stand::first_stage
+                                                         : Stand::open;
+    if (wanted == stand_) return;
+    stand_ = wanted;
+    host_->stand(wanted);
+}
+
+void Currency::tick(Seconds now) {
+    raise_floors(now);
+    bring_up(now);
+    take_stand(now);
+    judge_peers(now);
+}
+
+Seconds Currency::behind_for(Seconds now, const Name& name) const {
+    if (name == self_) {
+        Seconds most = 0;
+        for (const auto& [subject, since] : self_behind_) most = std::max(most, now - since);
+        return most;
+    }
+    const auto it = peers_.find(name);
+    return it == peers_.end() || it->second.behind_since < 0 ? 0 : now - it->second.behind_since;
+}
+Verdict Currency::verdict(Seconds now, const Name& name) const {
+    const Seconds behind = behind_for(now, name);
+    if (name == self_) {
+        if (ruled_ && !self_behind_.empty()) return Verdict::shut_out;
+    } else {
+        const auto it = peers_.find(name);
+        if (it == peers_.end() || it->second.words.empty()) return Verdict::unheard;
+        if (it->second.ruled && below(it->second)) return Verdict::shut_out;
+    }
+    return behind <= 0 ? Verdict::current : behind <= terms_.grace ? Verdict::behind : Verdict::straggler;
+}
+
+}  // namespace tideline::audit
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -155,6 +155,7 @@
     Seconds pressed = kNever;            // when last something had to wait here
 
     std::optional<News> news;
+    Stand stand = Stand::open;
     std::map<Operation, Stretch> taken_by;
     std::map<std::pair<Build, Operation>, Stretch> exposed;
     std::map<Operation, Drawn> parts;  // of an invocation that the cap's share falls short of
@@ -269,7 +270,11 @@
         return false;
     }
     bool named(Build build) const { return news && build == news->build; }
-    double cap_of(Build build) const { return named(build) ? news->cap : first_cap; }
+    // Danger: news that is known to be old, or can't be told from old, may allow what is allowed no more.
+    double cap_of(Build build) const {
+        const double cap = named(build) ? news->cap : first_cap;
+        return stand == Stand::no_trial ? 0 : stand == Stand::first_stage ? std::min(cap, first_cap) : cap;
+    }
     int stage_of(Build build) const { return named(build) ? news->stage.value : 0; }
     Operation slot(Operation op) const { return per_operation ? op : Operation{0}; }
 
@@ -673,6 +678,7 @@
             const Charge charge = sorted[i].second;
             const Count bad = evidence(charge), old = before(charge);
             marks.insert(charge);
+            host.marked(judged, judged_stage);
             const std::string what = charge.value < 0
                                          ? kCharges[-charge.value]
                                          : "operation " + std::to_string(charge.value) + " fails";
@@ -719,7 +725,7 @@
     Vote wanted() const {
         if (!news || !news->judged()) return Vote::none;
         if (!marks.empty()) return Vote::back;
-        if (news->phase == Phase::released) return Vote::none;
+        if (news->phase == Phase::released || stand != Stand::open) return Vote::none;
         const Seconds age = now - news->began;
         const bool suspicious =
             std::any_of(lfdr.begin(), lfdr.end(), [](auto& t) { return t.second < kHoldAt; });
@@ -939,6 +945,12 @@
         serve_waiting();
     }
 
+    void told_stand(Stand told) {
+        if (told > stand) afresh = now + drain_grace;
+        stand = told;
+        serve_waiting();
+    }
+
     // Danger: a vote that was not counted is held to stand. Only a counted one stands; the rest go again.
     void vote_told(VoteReply reply) {
         if (!vote_open) return;
@@ -985,6 +997,7 @@
     at(now).told_stage(build, stage, phase, cap, age);
 }
 void Choice::vote_answered(Seconds now, VoteReply reply) { at(now).vote_told(reply); }
+void Choice::stand_told(Seconds now, Stand stand) { at(now).told_stand(stand); }
 void Choice::alarm_rang(Seconds now, AlarmId alarm) { at(now).beat(alarm); }
 
 }  // namespace tideline
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -21,6 +21,7 @@
     virtual void fetch_list() = 0;
     virtual void vote(Build build, Stage stage, Vote vote) = 0;
     virtual void alarm(Seconds after, AlarmId alarm) = 0;
+    virtual void marked(Build, Stage) {}  // the build is held to be bad; what is noted says why
     virtual void note(const std::string& text) = 0;
 };
 
@@ -47,6 +48,8 @@
     void tally_told(Seconds now, Build build, Operation op, int count, int failed, Seconds mean_time);
     void stage_told(Seconds now, Build build, Stage stage, Phase phase, double cap, Seconds age);
     void vote_answered(Seconds now, VoteReply reply);
+    // Only ever makes it more careful: trial dispatches end as if the cap had fallen, and no vote goes on.
+    void stand_told(Seconds now, Stand stand);
     void alarm_rang(Seconds now, AlarmId alarm);
 
   private:
--- /dev/null
+++ b/src/cli/ask.hpp
@@ -0,0 +1,23 @@
+// `tideline audit` and `tideline members`: ask any member, print what it answers for the fleet.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "words.hpp"
+
+namespace tideline::cli {
+
+struct AskWish {
+    std::string at;
+    bool audit = true;  // else only the roll
+    bool json = false;
+    Seconds within = 10;
+    std::optional<double> since;  // Unix time; below 0: so many seconds ago
+    std::optional<int> build;
+};
+
+// The exit status: 0 all current, 1 stragglers or histories that don't hold, 2 some could not be told.
+int ask(const AskWish& wish);
+
+}  // namespace tideline::cli
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <utility>
 
+#include "fleet/fellow.hpp"
 #include "net/sidecar.hpp"
 
 namespace tideline::cli {
@@ -45,8 +46,8 @@
 // again after a while, without another line in the log.
 class Reading {
   public:
-    Reading(Loop& loop, Log& log, Sidecar& sidecar, const std::string& path)
-        : loop_(loop), log_(log), sidecar_(sidecar), path_(path) {}
+    Reading(Loop& loop, Log& log, Sidecar& sidecar, fleet::Fellow* fellow, const ServeWish& wish)
+        : loop_(loop), log_(log), sidecar_(sidecar), fellow_(fellow), wish_(wish) {}
     ~Reading() { loop_.due.cancel(again_); }
     void begin() {
         loop_.due.cancel(again_);
@@ -58,7 +59,10 @@
     void attempt(bool first) {
         again_ = Due::kNone;
         try {
-            sidecar_.take_up(read_slip(path_));
+            // Danger: of two files one might be taken up and the other not. Both are read first.
+            const Slip slip = read_slip(wish_.told);
+            if (fellow_) fellow_->take_up(fleet::treaty_of(wish_.fleet));
+            sidecar_.take_up(slip);
         } catch (const std::exception& error) {
             if (first) log_.line("SIGHUP: {}; what stands stays, read again soon", error.what());
             again_ = loop_.due.at(clock_now() + pause_, [this] { attempt(false); });
@@ -68,7 +72,8 @@
     Loop& loop_;
     Log& log_;
     Sidecar& sidecar_;
-    const std::string& path_;
+    fleet::Fellow* const fellow_;
+    const ServeWish wish_;
     Seconds pause_ = kReopenFirst;
     Due::Key again_ = Due::kNone;
 };
@@ -80,8 +85,13 @@
     Log log(wish.log);
     Loop loop;
     Signals signals(loop);
-    Sidecar sidecar(loop, log, slip);
-    Reading reading(loop, log, sidecar, wish.told);
+    std::unique_ptr<fleet::Fellow> fellow;
+    if (!wish.fleet.empty())
+        fellow = std::make_unique<fleet::Fellow>(loop, log, fleet::treaty_of(wish.fleet),
+                                                 fleet::digest_of(slip.text), slip.seed);
+    Sidecar sidecar(loop, log, slip, fellow.get());
+    if (fellow) fellow->begin(sidecar);
+    Reading reading(loop, log, sidecar, fellow.get(), wish);
     bool ending = false;
     while (!sidecar.done()) {
         loop.pass();
@@ -90,6 +100,7 @@
         if (!signals.asked_to_end || ending) continue;
         ending = true;
         log.line("SIGTERM: serves on for {} s, then lets clients go", kLetGoAfter);
+        if (fellow) fellow->leave();
         loop.due.at(clock_now() + kLetGoAfter, [&] { sidecar.let_go(); });
     }
     sidecar.report();
--- /dev/null
+++ b/src/fleet/archive.cpp
@@ -0,0 +1,105 @@
+#include "fleet/archive.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "fleet.pb.h"
+#include "fleet/frame.hpp"
+#include "fleet/wire.hpp"
+
+namespace tideline::fleet {
+namespace {
+
+namespace fs = std::filesystem;
+using nlohmann::json;
+
+constexpr std::size_t kEpochsMost = 4 * 1024 * 1024;  // bytes: some 20,000 epochs; then the older file goes
+
+}  // namespace
+
+Archive::Archive(const std::string& folder, const Name& name, std::uint64_t fresh_disk, Seconds now)
+    : folder_(folder), name_(name), life_{static_cast<std::uint64_t>(now * 1e3)} {
+    if (folder_.empty()) return;
+    std::error_code error;
+    fs::create_directories(folder_, error);
+    if (!fs::is_directory(folder_)) throw std::runtime_error("no folder: " + folder_);
+    const std::string path = folder_ + "/member";
+    disk_ = Disk{fresh_disk};
+    if (std::ifstream file(path); file) {
+        const json kept = json::parse(file, nullptr, false);
+        const bool whole = kept.is_object() && kept.contains("member") && kept["member"].is_string() &&
+                           kept.contains("disk") && kept["disk"].is_number_unsigned() &&
+                           kept.contains("life") && kept["life"].is_number_unsigned();
+        // Danger: two members that share a folder would each take the other's life for its own.
+        if (whole && kept["member"] != name_.value)
+            throw std::runtime_error(folder_ + " belongs to member " + kept["member"].get<std::string>());
+        if (whole) {
+            disk_ = Disk{kept["disk"].get<std::uint64_t>()};
+            life_ = Life{std::max(life_.value, kept["life"].get<std::uint64_t>() + 1)};
+            read_epochs(name);
+        } else {
+            found_ = path + " can't be read: begun anew, as after the loss of a disk";
+        }
+    }
+    // Danger: cut in the middle it could not be read. Written beside it and put in its place whole.
+    std::ofstream(path + ".new")
+        << json{{"member", name_.value}, {"disk", disk_.value}, {"life", life_.value}}.dump() << '\n';
+    fs::rename(path + ".new", path, error);
+    if (error) throw std::runtime_error("can't write " + path + ": " + error.message());
+}
+
+void Archive::read_epochs(const Name& name) {
+    const std::string path = folder_ + "/epochs";
+    std::string text;
+    for (const char* end : {".old", ""})
+        if (std::ifstream file(path + end, std::ios::binary); file)
+            text.append(std::istreambuf_iterator<char>(file), {});
+    std::string_view left = text;
+    while (!left.empty()) {
+        std::string_view body;
+        std::size_t whole = 0;
+        std::string why;
+        wire::Word word;
+        const FrameRead read = next_frame(left, kEpochsMost, body, whole, why);
+        if (read == FrameRead::more) {
+            found_ = "the last epoch of " + path + " was cut off: it is left out";
+            break;
+        }
+        if (read == FrameRead::bad || !read_word(body, word) || !word.has_record() ||
+            word.record().epochs_size() != 1 || word.record().name() != name.value) {
+            found_ = path + " is damaged at byte " + std::to_string(text.size() - left.size()) +
+                     ": what follows is left out";
+            break;
+        }
+        root_ = word.record().epochs(0).digest();
+        left.remove_prefix(whole);
+    }
+    // What can't be read would hide all that is written behind it.
+    if (!left.empty()) fs::rename(path, path + ".damaged");
+    std::error_code error;
+    size_ = fs::exists(path) ? fs::file_size(path, error) : 0;
+}
+
+bool Archive::keep(const audit::Epoch& epoch) {
+    if (folder_.empty()) return true;
+    const std::string path = folder_ + "/epochs";
+    if (size_ > kEpochsMost) {
+        std::error_code error;
+        fs::rename(path, path + ".old", error);
+        size_ = 0;
+    }
+    audit::Record one;
+    one.name = name_, one.life = life_, one.disk = disk_, one.epochs = {epoch};
+    wire::Word word;
+    put(one, *word.mutable_record());
+    const std::string frame = frame_with(word);
+    std::ofstream file(path, std::ios::binary | std::ios::app);
+    file << frame << std::flush;
+    size_ += frame.size();
+    return file.good();
+}
+
+}  // namespace tideline::fleet
--- /dev/null
+++ b/src/fleet/fellow.cpp
@@ -0,0 +1,573 @@
+#include "fleet/fellow.hpp"
+
+#include <fmt/format.h>
+
+#include "fleet/wire.hpp"
+#include "net/must.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace tideline::fleet {
+namespace {
+
+using audit::Mark;
+using audit::Subject;
+
+constexpr std::size_t kAskedAtOnce = 32;  // members: an audit of a large fleet is no burst of connections
+constexpr Seconds kRecordWithin = 2;      // s: for one member's record; slower ones are named as not heard
+constexpr Seconds kReviewPart = 0.1;      // of the grace: how often currency is looked at
+constexpr Seconds kReviewMost = 1;        // s
+constexpr std::uint32_t kSubjectMost = 1;
+
+Subject subject_of(std::uint32_t value) { return value == 0 ? Subject::list : Subject::news; }
+std::uint32_t number_of(Subject subject) { return subject == Subject::list ? 0 : 1; }
+
+template <class Value>
+void mix(std::uint64_t& digest, const Value& value) {
+    digest = XXH3_64bits_withSeed(&value, sizeof value, digest);
+}
+void mix(std::uint64_t& digest, const std::string& value) {
+    digest = XXH3_64bits_withSeed(value.data(), value.size(), digest + value.size());
+}
+void put(const Mark& mark, wire::Mark& to) { to.set_rank(mark.rank), to.set_digest(mark.digest); }
+Mark mark_from(const wire::Mark& from) { return {from.rank(), from.digest()}; }
+
+const char* word_of(audit::Verdict verdict) {
+    switch (verdict) {
+        case audit::Verdict::current:
+            return "current";
+        case audit::Verdict::behind:
+            return "behind";
+        case audit::Verdict::straggler:
+            return "straggler";
+        case audit::Verdict::shut_out:
+            return "shut out";
+        default:
+            return "unheard";
+    }
+}
+const char* word_of(Standing standing) {
+    return standing == Standing::present     ? "present"
+           : standing == Standing::suspected ? "suspected"
+           : standing == Standing::gone      ? "gone"
+                                             : "left";
+}
+const char* word_of(Stand stand) {
+    return stand == Stand::open ? "open" : stand == Stand::first_stage ? "first stage only" : "no trial";
+}
+
+}  // namespace
+
+Fellow::Fellow(net::Loop& loop, net::Log& log, const Treaty& treaty, const std::string& told,
+               std::uint64_t seed)
+    : loop_(loop),
+      log_(log),
+      treaty_(treaty),
+      told_(told + treaty.digest),
+      archive_(treaty.folder, treaty.name, seed | 1, net::clock_now()),
+      parley_(loop, *this, {treaty.links, treaty.frame}, net::address_of(treaty.address)->host),
+      ledger_(*this, treaty.name, archive_.life(), archive_.disk(), archive_.root(), {}, treaty.epochs,
+              net::clock_now()),
+      roll_(*this, treaty.roll,
+            Entry{treaty.name,
+                  archive_.life(),
+                  {},
+                  Standing::present,
+                  {},
+                  treaty.address,
+                  treaty.place,
+                  archive_.disk(),
+                  {},
+                  0,
+                  false},
+            treaty.seeds, seed, net::clock_now()),
+      currency_(*this, treaty.currency, treaty.name, net::clock_now()) {
+    if (!parley_.listen(*net::address_of(treaty.listen)))
+        throw std::runtime_error("can't listen at " + treaty.listen + " for the fleet");
+    if (!archive_.found().empty()) log_.alarm("fleet: {}", archive_.found());
+}
+Fellow::~Fellow() {
+    loop_.due.cancel(ring_);
+    loop_.due.cancel(review_);
+}
+
+void Fellow::begin(net::Ward& ward) {
+    ward_ = &ward;
+    began_ = true;
+    acts();
+    ring();
+    review();
+    log_.line("fleet: member {} at {}, life {}{}, {} seeds", treaty_.name.value, treaty_.address,
+              archive_.life().value, archive_.disk().value ? "" : ", no folder", treaty_.seeds.size());
+}
+void Fellow::take_up(const Treaty& fresh) {
+    const bool fixed = fresh.name != treaty_.name || fresh.listen != treaty_.listen ||
+                       fresh.address != treaty_.address || fresh.folder != treaty_.folder ||
+                       fresh.place != treaty_.place || fresh.epochs != treaty_.epochs;
+    roll_.take_up(fresh.roll, fresh.seeds);
+    currency_.take_up(fresh.currency);
+    parley_.bound({fresh.links, fresh.frame});
+    told_ = told_.substr(0, told_.size() - treaty_.digest.size()) + fresh.digest;
+    treaty_ = fresh;
+    acts();
+    log_.line("fleet: new operator file taken up{}",
+              fixed ? "; member, place, addresses, folder and epochs wait for a restart" : "");
+}
+void Fellow::leave() {
+    ledger_.seal(net::clock_now());
+    roll_.leave(net::clock_now());
+}
+
+// --- What this sidecar acts on
+bool Fellow::takes_revision(std::int64_t revision) {
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, revision)) >= handed_[Subject::list];
+}
+void Fellow::list_told(std::int64_t revision, ListKind kind, const std::vector<PodLine>& lines,
+                       const std::vector<net::Address>& addresses) {
+    if (kind != ListKind::changes) pods_.clear();
+    std::uint64_t drains = 0;
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        const auto it = pods_.find(lines[i].pod);
+        drains += lines[i].state == PodState::draining &&
+                  (it == pods_.end() || it->second.line.state == PodState::ready);
+        if (lines[i].state == PodState::gone)
+            pods_.erase(lines[i].pod);
+        else
+            pods_[lines[i].pod] = {lines[i], addresses[i]};
+    }
+    if (kind == ListKind::changes) ledger_.drained(drains);
+    std::uint64_t digest = 0;
+    for (const auto& [id, pod] : pods_) {  // addresses may differ from one sidecar to the next
+        mix(digest, id.value);
+        mix(digest, pod.line.state), mix(digest, pod.line.build.value), mix(digest, pod.line.started);
+        mix(digest, pod.line.weight), mix(digest, pod.line.cell.value);
+    }
+    marks_[Subject::list] = {static_cast<std::uint64_t>(std::max<std::int64_t>(0, revision)), digest};
+    currency_.acts_on(net::clock_now(), Subject::list, marks_[Subject::list]);
+    acts();
+}
+bool Fellow::news_told(Build build, Stage stage, Phase phase, double cap, Seconds age) {
+    const NewsRank rank = rank_of(build, stage, phase);
+    if (rank.value < handed_[Subject::news]) return false;
+    news_ = {build, stage, phase, cap, net::clock_now() - age};
+    std::uint64_t digest = 0;
+    mix(digest, build.value), mix(digest, stage.value), mix(digest, phase), mix(digest, cap);
+    marks_[Subject::news] = {rank.value, digest};
+    currency_.acts_on(net::clock_now(), Subject::news, marks_[Subject::news]);
+    acts();
+    return true;
+}
+void Fellow::dispatched(const PodId& pod) {
+    const auto it = pods_.find(pod);
+    const Build build = it == pods_.end() ? Build{} : it->second.line.build;
+    ledger_.dispatched(build > news_.build || (build == news_.build && news_.phase != Phase::released));
+}
+void Fellow::acts() {
+    if (!began_) return;
+    audit::Acting acting;
+    acting.version = {ListRevision{marks_[Subject::list].rank}, NewsRank{marks_[Subject::news].rank}};
+    acting.build = news_.build, acting.stage = news_.stage, acting.phase = news_.phase,
+    acting.cap = news_.cap;
+    acting.stand = stand_, acting.told = told_, acting.program = TIDELINE_VERSION;
+    ledger_.acts_on(net::clock_now(), acting);
+    roll_.acts_on(net::clock_now(), acting.version);
+}
+void Fellow::sealed(const audit::Epoch& epoch) {
+    if (!archive_.keep(epoch) && !std::exchange(archive_full_, true))
+        log_.alarm("fleet: epochs can't be written to {}", treaty_.folder);
+}
+
+// --- What is said to others
+wire::Word Fellow::word() const {
+    wire::Word word;
+    wire::From& from = *word.mutable_from();
+    fleet::put(roll_.self(), *from.mutable_self());
+    const auto mark = [&](Subject subject) {
+        const auto it = marks_.find(subject);
+        return it == marks_.end() ? Mark{} : it->second;
+    };
+    put(mark(Subject::list), *from.mutable_list());
+    put(mark(Subject::news), *from.mutable_news());
+    from.set_head_number(ledger_.head_number());
+    from.set_head(ledger_.head());
+    return word;
+}
+void Fellow::send(const Name& to, const wire::Word& word) {
+    const auto entry = roll_.find(to);
+    if (entry && to != treaty_.name) parley_.send(to, entry->address, word);
+}
+void Fellow::ping(const Name& to, Asking no, const Gossip& gossip) {
+    wire::Word said = word();
+    said.mutable_ping()->set_no(no.value);
+    put(gossip, *said.mutable_ping()->mutable_gossip());
+    send(to, said);
+}
+void Fellow::ask_ping(const Name& helper, Asking no, const Name& target, const Gossip& gossip) {
+    wire::Word said = word();
+    said.mutable_ask_ping()->set_no(no.value);
+    said.mutable_ask_ping()->set_target(target.value);
+    put(gossip, *said.mutable_ask_ping()->mutable_gossip());
+    send(helper, said);
+}
+void Fellow::answer(const Name& to, Asking no, const Gossip& gossip) {
+    wire::Word said = word();
+    said.mutable_answer()->set_no(no.value);
+    put(gossip, *said.mutable_answer()->mutable_gossip());
+    send(to, said);
+}
+void Fellow::no_answer(const Name& to, Asking no) {
+    wire::Word said = word();
+    said.mutable_no_answer()->set_no(no.value);
+    send(to, said);
+}
+void Fellow::knock(const std::string& address) {
+    wire::Word said = word();
+    said.mutable_knock();
+    parley_.send(address, said);
+}
+void Fellow::table(const Name& to, const Gossip& part, bool wants_back) {
+    wire::Word said = word();
+    put(part, *said.mutable_table()->mutable_part());
+    said.mutable_table()->set_wants_back(wants_back);
+    send(to, said);
+}
+void Fellow::changed(const Entry& entry, Standing before, bool new_life) {
+    const Seconds now = net::clock_now();
+    if (entry.name == treaty_.name) {
+        currency_.ruled_out(now, entry.out);
+        log_.line("fleet: this member is {}", entry.out ? "shut out" : "let in again");
+        return;
+    }
+    currency_.known(now, entry);
+    if (new_life)
+        log_.line("fleet: {} is here at {}, life {}", entry.name.value, entry.address, entry.life.value);
+    else if (entry.standing != before)
+        log_.line("fleet: {} is {}{}", entry.name.value, word_of(entry.standing),
+                  entry.standing == Standing::suspected ? " by " + entry.by.value : "");
+}
+void Fellow::ask_word(const Name& of) {
+    // An answer to a ping is its own word; the number belongs to no ping that the roll waits for.
+    ping(of, Asking{0}, {});
+}
+void Fellow::ask_for(const Name& from, Subject subject) {
+    wire::Word said = word();
+    said.mutable_want()->set_subject(number_of(subject));
+    send(from, said);
+    log_.line("audit: behind on {}, asks {} for what it lacks",
+              subject == Subject::list ? "the list" : "news", from.value);
+}
+void Fellow::ask_vouch(const Name& of, Subject subject, const Mark& mark) {
+    wire::Word said = word();
+    said.mutable_ask_vouch()->set_subject(number_of(subject));
+    put(mark, *said.mutable_ask_vouch()->mutable_mark());
+    send(of, said);
+}
+void Fellow::refuse(const Name& name) {
+    wire::Word said = word();
+    said.mutable_refusal();
+    send(name, said);
+}
+void Fellow::rule(const Name& name, const Life& life, bool out) {
+    log_.line("audit: {} is {}", name.value, out ? "shut out" : "let in again");
+    roll_.rule(net::clock_now(), name, life, out);
+}
+void Fellow::stand(Stand stand) {
+    if (stand > stand_)
+        log_.alarm("audit: this member takes the stand '{}'", word_of(stand));
+    else
+        log_.line("audit: this member takes the stand '{}'", word_of(stand));
+    stand_ = stand;
+    // The cores are not called back from within their own calls.
+    loop_.due.soon([this] {
+        if (ward_) ward_->stand(stand_);
+        acts();
+    });
+}
+
+// --- Handing over
+void Fellow::hand_over(const Name& to, Subject subject) {
+    wire::Word said = word();
+    wire::HandOver& over = *said.mutable_hand_over();
+    over.set_subject(number_of(subject));
+    put(marks_[subject], *over.mutable_mark());
+    if (subject == Subject::news) {
+        wire::News& news = *over.mutable_news();
+        news.set_build(news_.build.value), news.set_stage(news_.stage.value);
+        news.set_phase(static_cast<std::uint32_t>(news_.phase)), news.set_cap(news_.cap);
+        news.set_since(news_.since);
+    } else {
+        for (const auto& [id, listed] : pods_) {
+            wire::Pod& pod = *over.add_pods();
+            pod.set_id(id.value), pod.set_address(net::text_of(listed.address));
+            pod.set_state(static_cast<std::uint32_t>(listed.line.state));
+            pod.set_location(listed.line.location.value), pod.set_cell(listed.line.cell.value);
+            pod.set_kind(listed.line.kind), pod.set_weight(listed.line.weight);
+            pod.set_build(listed.line.build.value), pod.set_started(listed.line.started);
+        }
+    }
+    send(to, said);
+}
+// The content is held against its digest here; whether it is taken up is for others to vouch.
+void Fellow::handed_over(const Name& by, const wire::HandOver& over) {
+    const Subject subject = subject_of(over.subject());
+    const Mark mark = mark_from(over.mark());
+    std::uint64_t digest = 0;
+    if (subject == Subject::news) {
+        const wire::News& news = over.news();
+        if (news.phase() > static_cast<std::uint32_t>(Phase::withdrawn) ||
+            !(news.cap() >= 0 && news.cap() <= 1))
+            return;
+        const auto phase = static_cast<Phase>(news.phase());
+        mix(digest, static_cast<int>(news.build())), mix(digest, static_cast<int>(news.stage()));
+        mix(digest, phase), mix(digest, news.cap());
+        if (rank_of(Build{news.build()}, Stage{news.stage()}, phase).value != mark.rank) return;
+    } else {
+        std::map<std::string, const wire::Pod*> sorted;
+        for (const wire::Pod& pod : over.pods()) {
+            if (pod.state() > static_cast<std::uint32_t>(PodState::draining) || !(pod.weight() > 0) ||
+                !net::address_of(pod.address()) || !sorted.emplace(pod.id(), &pod).second)
+                return;
+        }
+        for (const auto& [id, pod] : sorted) {
+            mix(digest, id);
+            mix(digest, static_cast<PodState>(pod->state())), mix(digest, static_cast<int>(pod->build()));
+            mix(digest, pod->started()), mix(digest, pod->weight()),
+                mix(digest, static_cast<int>(pod->cell()));
+        }
+    }
+    if (digest != mark.digest) return log_.alarm("audit: {} handed over what is not what it says", by.value);
+    offers_[subject] = {mark, over};
+    currency_.handed_over(net::clock_now(), by, subject, mark);
+}
+void Fellow::take_up(Subject subject, const Mark& mark) {
+    loop_.due.soon([this, subject, mark] {
+        const auto it = offers_.find(subject);
+        if (!ward_ || it == offers_.end() || it->second.first != mark) return;
+        const wire::HandOver over = it->second.second;
+        offers_.erase(it);
+        if (marks_[subject].rank > mark.rank) return;  // its own source was quicker
+        handed_[subject] = mark.rank;
+        log_.line("audit: brought up on {}", subject == Subject::list ? "the list" : "news");
+        if (subject == Subject::news) {
+            const wire::News& news = over.news();
+            return ward_->hand_news(Build{news.build()}, Stage{news.stage()},
+                                    static_cast<Phase>(news.phase()), news.cap(),
+                                    std::max(0.0, net::clock_now() - news.since()));
+        }
+        std::vector<PodLine> lines;
+        std::vector<net::Address> addresses;
+        for (const wire::Pod& pod : over.pods()) {
+            PodLine line;
+            line.pod = PodId{pod.id()}, line.state = static_cast<PodState>(pod.state());
+            line.location = Location{pod.location()}, line.cell = Cell{pod.cell()}, line.kind = pod.kind();
+            line.weight = pod.weight(), line.build = Build{pod.build()}, line.started = pod.started();
+            // An address may be this sidecar's alone; only of a pod that it never heard of is the other's
+            // taken.
+            const auto own = pods_.find(line.pod);
+            addresses.push_back(own == pods_.end() ? *net::address_of(pod.address()) : own->second.address);
+            lines.push_back(std::move(line));
+        }
+        ward_->hand_list(static_cast<std::int64_t>(mark.rank), lines, addresses);
+    });
+}
+
+// --- What others say
+void Fellow::heard(Seconds now, const Entry& from, const wire::From& said) {
+    heard_[from.name] = now;
+    currency_.heard(now, from.name, from.life, mark_from(said.list()), mark_from(said.news()));
+    const std::string fault = heads_.shown(from.name, from.life, said.head_number(), said.head());
+    if (!fault.empty()) log_.alarm("audit: {}: {}", from.name.value, fault);
+}
+void Fellow::said(LinkNo link, const wire::Word& word) {
+    if (!began_) return;
+    const Seconds now = net::clock_now();
+    if (word.has_ask_fleet()) return asked(link, word.ask_fleet());
+    const Entry from = entry_from(word.from().self());
+    if (from.name.value.empty() || from.name == treaty_.name) return;
+    if (!parley_.belongs(link, from.name, from.address))
+        return log_.line("fleet: a word as of {} came from elsewhere", from.name.value);
+    const audit::Mark mark = word.has_vouch()       ? mark_from(word.vouch().mark())
+                             : word.has_ask_vouch() ? mark_from(word.ask_vouch().mark())
+                                                    : Mark{};
+    // The roll first: whoever speaks is known from then on.
+    switch (word.what_case()) {
+        case wire::Word::kPing:
+            roll_.pinged(now, from, Asking{word.ping().no()}, gossip_from(word.ping().gossip()));
+            break;
+        case wire::Word::kAskPing:
+            roll_.asked_to_ping(now, from, Asking{word.ask_ping().no()}, Name{word.ask_ping().target()},
+                                gossip_from(word.ask_ping().gossip()));
+            break;
+        case wire::Word::kAnswer:
+            roll_.answered(now, from, Asking{word.answer().no()}, gossip_from(word.answer().gossip()));
+            break;
+        case wire::Word::kNoAnswer:
+            roll_.not_answered(now, from, Asking{word.no_answer().no()});
+            break;
+        case wire::Word::kKnock:
+            roll_.knocked(now, from);
+            break;
+        case wire::Word::kTable:
+            roll_.table_told(now, from, gossip_from(word.table().part()), word.table().wants_back());
+            break;
+        default:
+            break;
+    }
+    heard(now, from, word.from());
+    switch (word.what_case()) {
+        case wire::Word::kWant:
+            if (word.want().subject() <= kSubjectMost)
+                hand_over(from.name, subject_of(word.want().subject()));
+            break;
+        case wire::Word::kHandOver:
+            handed_over(from.name, word.hand_over());
+            break;
+        case wire::Word::kAskVouch: {
+            wire::Word said = this->word();
+            wire::Vouch& vouch = *said.mutable_vouch();
+            vouch.set_subject(word.ask_vouch().subject());
+            put(mark, *vouch.mutable_mark());
+            vouch.set_yes(currency_.vouches(subject_of(word.ask_vouch().subject()), mark));
+            send(from.name, said);
+            break;
+        }
+        case wire::Word::kVouch:
+            currency_.vouched(now, from.name, subject_of(word.vouch().subject()), mark, word.vouch().yes());
+            break;
+        case wire::Word::kRefusal:
+            currency_.refused(now, from.name);
+            break;
+        case wire::Word::kAskRecord: {
+            wire::Word said = this->word();
+            fleet::put(ledger_.record(), *said.mutable_record());
+            said.mutable_record()->set_no(word.ask_record().no());
+            send(from.name, said);
+            break;
+        }
+        case wire::Word::kRecord:
+            recorded(from.name, word.record());
+            break;
+        default:
+            break;
+    }
+    ring();
+}
+void Fellow::unreachable(const Name& name) {
+    roll_.unreachable(net::clock_now(), name);
+    ring();
+}
+
+// --- Deadlines
+void Fellow::ring() {
+    loop_.due.cancel(ring_);
+    ring_ = loop_.due.at(roll_.due(), [this] {
+        ring_ = net::Due::kNone;
+        roll_.tick(net::clock_now());
+        ring();
+    });
+}
+void Fellow::review() {
+    currency_.tick(net::clock_now());
+    tend_inquiries();
+    review_ = loop_.due.at(net::clock_now() + std::min(kReviewMost, kReviewPart * treaty_.currency.grace),
+                           [this] { review(); });
+}
+
+// --- Audit
+wire::Fleet Fellow::head_of_answer() const {
+    wire::Fleet fleet;
+    fleet.set_asked(treaty_.name.value), fleet.set_now(net::clock_now());
+    fleet.set_floor_list(currency_.floor(Subject::list)),
+        fleet.set_floor_news(currency_.floor(Subject::news));
+    fleet.set_health(roll_.health());
+    return fleet;
+}
+// Danger: what was current when it was last heard may lag by now. Whoever is not there, or was not heard for
+// itself of late, is never shown as current.
+wire::Row Fellow::row_of(const Entry& entry) const {
+    const Seconds now = net::clock_now();
+    wire::Row row;
+    fleet::put(entry, *row.mutable_entry());
+    const auto it = heard_.find(entry.name);
+    const bool self = entry.name == treaty_.name;
+    row.set_heard_ago(self ? 0 : it == heard_.end() ? -1 : now - it->second);
+    row.set_behind(currency_.behind_for(now, entry.name));
+    row.set_state(entry.standing <= Standing::suspected ? word_of(currency_.verdict(now, entry.name))
+                                                        : word_of(entry.standing));
+    return row;
+}
+void Fellow::send_row(const Inquiry& inquiry, wire::Row row) {
+    wire::Word said;
+    *said.mutable_fleet() = head_of_answer();
+    *said.mutable_fleet()->add_rows() = std::move(row);
+    parley_.reply(inquiry.link, said);
+}
+void Fellow::asked(LinkNo link, const wire::AskFleet& ask) {
+    const std::uint64_t no = ++inquired_;
+    Inquiry inquiry{link, {}, {}, net::clock_now() + kRecordWithin};
+    wire::Row own = row_of(roll_.self());
+    if (ask.audit()) fleet::put(ledger_.record(), *own.mutable_record());
+    send_row(inquiry, std::move(own));
+    for (const auto& [name, entry] : roll_.others()) {
+        if (ask.audit() && entry.standing <= Standing::suspected)
+            inquiry.waiting.push_back(name);
+        else
+            send_row(inquiry, row_of(entry));
+    }
+    ask_on(no, inquiries_.emplace(no, std::move(inquiry)).first->second);
+    tend_inquiries();
+}
+void Fellow::ask_on(std::uint64_t no, Inquiry& inquiry) {
+    while (!inquiry.waiting.empty() && inquiry.asked.size() < kAskedAtOnce) {
+        const Name name = inquiry.waiting.front();
+        inquiry.waiting.pop_front();
+        inquiry.asked[name] = no;
+        inquiry.until = net::clock_now() + kRecordWithin;
+        wire::Word said = word();
+        said.mutable_ask_record()->set_no(no);
+        send(name, said);
+    }
+}
+void Fellow::recorded(const Name& by, const wire::Record& from) {
+    const auto it = inquiries_.find(from.no());
+    if (it == inquiries_.end() || it->second.asked.erase(by) == 0) return;
+    const auto entry = roll_.find(by);
+    const audit::Record record = record_from(from);
+    wire::Row row = row_of(*entry);
+    std::string fault = audit::fault_of(record);
+    if (fault.empty()) fault = heads_.fault_of(record);
+    if (record.name != by) fault = "it answers with the record of " + record.name.value;
+    row.set_fault(fault);
+    if (!fault.empty()) log_.alarm("audit: {}: {}", by.value, fault);
+    *row.mutable_record() = from;
+    send_row(it->second, std::move(row));
+    ask_on(it->first, it->second);
+    tend_inquiries();
+}
+void Fellow::tend_inquiries() {
+    for (auto it = inquiries_.begin(); it != inquiries_.end();) {
+        Inquiry& inquiry = it->second;
+        if (net::clock_now() > inquiry.until) {
+            for (const auto& [name, no] : inquiry.asked)
+                if (const auto entry = roll_.find(name)) {
+                    wire::Row row = row_of(*entry);
+                    row.set_state("unreachable");
+                    send_row(inquiry, std::move(row));
+                }
+            inquiry.asked.clear();
+            ask_on(it->first, inquiry);
+        }
+        if (!inquiry.asked.empty() || !inquiry.waiting.empty()) {
+            ++it;
+            continue;
+        }
+        wire::Word said;
+        *said.mutable_fleet() = head_of_answer();
+        said.mutable_fleet()->set_last(true);
+        parley_.reply(inquiry.link, said);
+        it = inquiries_.erase(it);
+    }
+}
+
+}  // namespace tideline::fleet
--- /dev/null
+++ b/src/fleet/fellow.hpp
@@ -0,0 +1,124 @@
+// A fellow: this sidecar as a member of the fleet. Joins the cores (roll, currency, ledger) to the other
+// members and to the sidecar; decides nothing itself.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "audit/currency.hpp"
+#include "audit/heads.hpp"
+#include "audit/ledger.hpp"
+#include "fleet/archive.hpp"
+#include "fleet/parley.hpp"
+#include "fleet/roll.hpp"
+#include "fleet/treaty.hpp"
+#include "net/log.hpp"
+#include "net/onlooker.hpp"
+
+namespace tideline::fleet {
+
+class Fellow : public net::Onlooker, RollHost, audit::CurrencyHost, audit::LedgerHost, Parley::Owner {
+  public:
+    // `told`: digest of the sidecar's own configuration. Throws std::runtime_error with one plain line.
+    Fellow(net::Loop& loop, net::Log& log, const Treaty& treaty, const std::string& told, std::uint64_t seed);
+    ~Fellow() override;
+    void begin(net::Ward& ward);
+    void take_up(const Treaty& fresh);  // after SIGHUP: what can change at run time
+    void leave();                       // after SIGTERM: the others are told
+    // net::Onlooker
+    bool takes_revision(std::int64_t revision) override;
+    void list_told(std::int64_t revision, ListKind kind, const std::vector<PodLine>& lines,
+                   const std::vector<net::Address>& addresses) override;
+    bool news_told(Build build, Stage stage, Phase phase, double cap, Seconds age) override;
+    void dispatched(const PodId& pod) override;
+    void voted(Vote vote) override { ledger_.voted(vote); }
+    void marked() override { ledger_.marked(); }
+
+  private:
+    struct Listed {
+        PodLine line;
+        net::Address address;
+    };
+    struct News {
+        Build build;
+        Stage stage;
+        Phase phase = Phase::released;
+        double cap = 0;
+        Seconds since = 0;
+    };
+    struct Inquiry {  // an audit that somebody asked for
+        LinkNo link;
+        std::deque<Name> waiting;             // not yet asked
+        std::map<Name, std::uint64_t> asked;  // by the number they are asked under
+        Seconds until = 0;
+    };
+    // RollHost
+    void ping(const Name& to, Asking no, const Gossip& gossip) override;
+    void ask_ping(const Name& helper, Asking no, const Name& target, const Gossip& gossip) override;
+    void answer(const Name& to, Asking no, const Gossip& gossip) override;
+    void no_answer(const Name& to, Asking no) override;
+    void knock(const std::string& address) override;
+    void table(const Name& to, const Gossip& part, bool wants_back) override;
+    void changed(const Entry& entry, Standing before, bool new_life) override;
+    void note(const std::string& text) override { log_.alarm("fleet: {}", text); }
+    // audit::CurrencyHost
+    void ask_word(const Name& of) override;
+    void ask_for(const Name& from, audit::Subject subject) override;
+    void ask_vouch(const Name& of, audit::Subject subject, const audit::Mark& mark) override;
+    void take_up(audit::Subject subject, const audit::Mark& mark) override;
+    void refuse(const Name& name) override;
+    void rule(const Name& name, const Life& life, bool out) override;
+    void stand(Stand stand) override;
+    void alarm(const std::string& text) override { log_.alarm("audit: {}", text); }
+    // audit::LedgerHost
+    void sealed(const audit::Epoch& epoch) override;
+    // Parley::Owner
+    void said(LinkNo link, const wire::Word& word) override;
+    void unreachable(const Name& name) override;
+    void parley_said(const std::string& what) override { log_.line("fleet: {}", what); }
+
+    wire::Word word() const;  // with this member's own word on itself
+    void send(const Name& to, const wire::Word& word);
+    void heard(Seconds now, const Entry& from, const wire::From& said);
+    void hand_over(const Name& to, audit::Subject subject);
+    void handed_over(const Name& by, const wire::HandOver& over);
+    void acts();  // something it acts on has changed
+    void ring();  // sets the alarm for the roll
+    void review();
+    void ask_on(std::uint64_t no, Inquiry& inquiry);
+    void asked(LinkNo link, const wire::AskFleet& ask);
+    void recorded(const Name& by, const wire::Record& record);
+    wire::Row row_of(const Entry& entry) const;
+    void send_row(const Inquiry& inquiry, wire::Row row);
+    void tend_inquiries();
+    wire::Fleet head_of_answer() const;
+
+    net::Loop& loop_;
+    net::Log& log_;
+    Treaty treaty_;
+    net::Ward* ward_ = nullptr;
+    std::string told_;
+    Archive archive_;
+    audit::Heads heads_;
+    std::map<PodId, Listed> pods_;
+    std::map<audit::Subject, audit::Mark> marks_;
+    std::map<audit::Subject, std::uint64_t> handed_;  // the rank that was handed over; older is not acted on
+    std::map<audit::Subject, std::pair<audit::Mark, wire::HandOver>> offers_;
+    News news_;
+    Stand stand_ = Stand::open;
+    std::map<Name, Seconds> heard_;  // when each last spoke for itself
+    std::map<std::uint64_t, Inquiry> inquiries_;
+    std::uint64_t inquired_ = 0;
+    std::string reply_to_;
+    Parley parley_;
+    audit::Ledger ledger_;
+    Roll roll_;
+    audit::Currency currency_;
+    net::Due::Key ring_ = net::Due::kNone, review_ = net::Due::kNone;
+    bool archive_full_ = false, began_ = false;
+};
+
+}  // namespace tideline::fleet
--- /dev/null
+++ b/src/fleet/parley.hpp
@@ -0,0 +1,67 @@
+// Connections between members: frames with a word each way, over the program's own loop and links. Who a
+// connection belongs to is what its words say, held against where it comes from.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "fleet.pb.h"
+#include "fleet/names.hpp"
+#include "net/listener.hpp"
+#include "net/slots.hpp"
+
+namespace tideline::fleet {
+
+using LinkNo = Id<struct ParleyTag, std::uint64_t>;
+
+class Parley {
+  public:
+    class Owner {
+      public:
+        virtual ~Owner() = default;
+        virtual void said(LinkNo link, const wire::Word& word) = 0;
+        virtual void unreachable(const Name& name) = 0;         // a connection to it failed or broke
+        virtual void parley_said(const std::string& what) = 0;  // for the log
+    };
+    struct Bounds {
+        std::size_t links = 64;           // connections at once
+        std::size_t frame = 1024 * 1024;  // bytes
+    };
+    Parley(net::Loop& loop, Owner& owner, const Bounds& bounds, std::uint32_t own_host);
+    ~Parley();
+
+    bool listen(const net::Address& address);
+    // Over the connection to that member, or a new one to the address.
+    void send(const Name& to, const std::string& address, const wire::Word& word);
+    void send(const std::string& address, const wire::Word& word);  // to whoever is there
+    void reply(LinkNo link, const wire::Word& word);
+    // The connection is that member's. False where it comes from another host than the member's address.
+    bool belongs(LinkNo link, const Name& name, const std::string& address);
+    void bound(const Bounds& bounds) { bounds_ = bounds; }
+    std::size_t links() const { return links_.size(); }
+    std::uint64_t bytes_sent() const { return bytes_sent_; }
+    std::uint64_t frames_sent() const { return frames_sent_; }
+
+  private:
+    class Link;
+    Link* find(LinkNo link);
+    LinkNo dial(const std::string& address);
+    void make_room();
+    void drop(LinkNo link, bool failed);
+    void put(Link& link, const wire::Word& word);
+    void tend();
+
+    net::Loop& loop_;
+    Owner& owner_;
+    Bounds bounds_;
+    const std::uint32_t own_host_;
+    net::Listener listener_;
+    net::Slots<std::unique_ptr<Link>> links_;
+    std::map<Name, LinkNo> by_name_;
+    net::Due::Key tend_ = net::Due::kNone;
+    std::uint64_t bytes_sent_ = 0, frames_sent_ = 0;
+};
+
+}  // namespace tideline::fleet
--- /dev/null
+++ b/src/fleet/treaty.hpp
@@ -0,0 +1,41 @@
+// What a member is told about the fleet by its operator file (in the trade, a treaty is a standing agreement
+// among insurers). Read with libconfig, checked whole before anything of it is taken up.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "audit/currency.hpp"
+#include "fleet/roll.hpp"
+
+namespace tideline::fleet {
+
+struct Treaty {
+    Name name;
+    Place place;
+    std::string listen;   // host:port in digits
+    std::string address;  // the same, as others dial it
+    std::vector<std::string> seeds;
+    std::string folder;               // what must outlive a restart; empty: nothing does
+    std::size_t links = 64;           // connections to members at once
+    std::size_t frame = 1024 * 1024;  // bytes: the longest frame that is taken
+    std::size_t epochs = 256;         // sealed epochs kept one by one
+    RollTerms roll;
+    audit::CurrencyTerms currency;
+    std::string digest;  // of the file's text
+};
+
+struct Fault {
+    int line = 0;  // 0: of the whole file
+    std::string what;
+};
+
+// What is wrong with the text, each with its line; `treaty` is whole only if that is nothing.
+std::vector<Fault> read_treaty(const std::string& text, Treaty& treaty);
+// The same of a file. Throws std::runtime_error, with one line a fault: file, line and what is wrong.
+Treaty treaty_of(const std::string& path);
+std::string digest_of(const std::string& text);  // 16 hex digits, to tell one text from another
+// File, line and fault, as it is shown.
+std::string text_of(const std::string& path, const Fault& fault);
+
+}  // namespace tideline::fleet
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,8 @@
 #include <cstdio>
 #include <exception>
 
+#include "cli/ask.hpp"
+#include "cli/check.hpp"
 #include "cli/serve.hpp"
 
 namespace {
@@ -18,6 +20,12 @@
         "the log as one JSON object a line");
 }
 
+void add_asking(CLI::App& app, cli::AskWish& wish) {
+    app.add_option("--at", wish.at, "host:port of any member")->required();
+    app.add_flag("--json", wish.json, "one JSON object");
+    app.add_option("--within", wish.within, "seconds to wait for the answer")->capture_default_str();
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -27,12 +35,26 @@
     add_sidecar(app, serve);
     CLI::App* sidecar = app.add_subcommand("sidecar", "one real sidecar; what `tideline` alone is too");
     add_sidecar(*sidecar, serve);
+    cli::AskWish ask;
+    CLI::App* audit =
+        app.add_subcommand("audit", "which member acts on what; status 1: stragglers, 2: can't tell");
+    add_asking(*audit, ask);
+    audit->add_option("--since", ask.since, "show epochs that ended after this Unix time, or -SECONDS ago");
+    audit->add_option("--build", ask.build, "show epochs that acted on this build");
+    CLI::App* members = app.add_subcommand("members", "who is there, as one member has it");
+    add_asking(*members, ask);
+    std::string path;
+    CLI::App* check = app.add_subcommand("check", "says all that is wrong with an operator file");
+    check->add_option("file", path, "the operator file")->required();
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
         return app.exit(error) == 0 ? 0 : 2;
     }
     try {
+        ask.audit = audit->parsed();
+        if (audit->parsed() || members->parsed()) return cli::ask(ask);
+        if (check->parsed()) return cli::check(path);
         if (serve.told.empty()) {
             std::fprintf(stderr, "tideline: neither --config nor PROXY_CONFIG names a file\n");
             return 2;
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -47,6 +47,7 @@
 constexpr Seconds kNextPass = 0.001;   // s: others are served before the next messages of the same client
 constexpr int kAsideMost = 2;          // requests for encryption: both kinds once
 constexpr Seconds kStalled = 1;        // s: after that, half a query is no longer waited for
+constexpr Seconds kStopped = 0.05;     // s: a pass that takes longer was stopped, or had no core
 constexpr Seconds kReportEvery = 10;   // s: a log line with peaks and counts
 
 }  // namespace tideline::net
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -59,10 +59,16 @@
     return fd;
 }
 
-void Link::open(const Address& address) {
+void Link::open(const Address& address, std::uint32_t from) {
     fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd_ < 0) return broke();
     no_delay(fd_);
+    if (from != 0) {  // where that is not an address of this machine, any will do
+        const int on = 1;
+        ::setsockopt(fd_, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+        const sockaddr_in own = to_sockaddr({from, 0});
+        (void)!::bind(fd_, reinterpret_cast<const sockaddr*>(&own), sizeof own);
+    }
     const sockaddr_in to = to_sockaddr(address);
     connecting_ = true;
     loop_.watch(fd_, this, POLLOUT);
@@ -138,6 +144,13 @@
     set_wants();
 }
 
+std::uint32_t Link::peer_host() const {
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    const bool known = fd_ >= 0 && ::getpeername(fd_, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+    return known ? peer.sin_addr.s_addr : 0;
+}
+
 bool Link::heard_end() {
     char byte;
     const ssize_t got = ::recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/net/link.hpp
+++ b/src/net/link.hpp
@@ -27,15 +27,17 @@
     Link(const Link&) = delete;
     Link& operator=(const Link&) = delete;
 
-    void open(const Address& address);  // a failure is told from the loop
-    void adopt(int fd);                 // an accepted connection
-    void put(std::string_view bytes);   // written at once as far as it goes, the rest when there is room
-    void finish();                      // nothing more is written; what was goes out whole
+    // A failure is told from the loop. `from`: the host to come from, as on the wire; 0: any.
+    void open(const Address& address, std::uint32_t from = 0);
+    void adopt(int fd);                // an accepted connection
+    void put(std::string_view bytes);  // written at once as far as it goes, the rest when there is room
+    void finish();                     // nothing more is written; what was goes out whole
     void close();
     bool up() const { return fd_ >= 0 && !connecting_; }
     bool closed() const { return fd_ < 0; }
     bool all_written() const { return out_.empty(); }
-    bool heard_end();  // whether the peer has ended it, or spoken, unnoticed so far
+    std::uint32_t peer_host() const;  // as on the wire; 0 if there is none
+    bool heard_end();                 // whether the peer has ended it, or spoken, unnoticed so far
     void ready(short events) override;
 
   protected:
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -43,6 +43,9 @@
 
 bool List::read(const json& list, bool first_copy) {
     if (!list.is_object() || !list.contains("members") || !list["members"].is_array()) return false;
+    // Danger: a list that lagged while another handed over what it lacked tells its old changes later.
+    if (const auto at = list.find("revision"); at != list.end() && at->is_number_integer())
+        if (!owner_.takes_revision(at->get<std::int64_t>())) return true;
     bool odd = false;
     std::vector<PodLine> lines;
     std::vector<Address> addresses;
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -1,6 +1,7 @@
 // The list of pods: asked for once, or watched. It tells what came, and when an asking or the watch was lost.
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -19,6 +20,8 @@
         virtual void listed(ListKind kind, const std::vector<PodLine>& lines,
                             const std::vector<Address>& addresses) = 0;
         virtual void list_lost(const std::string& why) = 0;
+        // False for a state older than one that was handed over since.
+        virtual bool takes_revision(std::int64_t revision) = 0;
     };
     // `known` is the copy that was told at start; a watch asks for what came after it.
     List(Loop& loop, Owner& owner, const Terms& terms, Address address, const nlohmann::json& known);
@@ -28,6 +31,10 @@
     bool read(const nlohmann::json& list, bool first_copy);
     void fetch();
     void follow();
+    std::int64_t revision() const { return revision_; }
+    void handed(std::int64_t revision) {
+        revision_ = std::max(revision_, revision);
+    }                            // by another than the list
     void move(Address address);  // the list is now told there; the watch goes over without a gap
 
   private:
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cmath>
 
+#include "net/limits.hpp"
 #include "net/must.hpp"
 
 namespace tideline::net {
@@ -41,9 +42,10 @@
 }
 
 void Loop::pass() {
-    const Seconds wait = due.next() - clock_now();
+    const Seconds begun = clock_now(), wait = due.next() - begun;
     const int ms = wait <= 0 ? 0 : static_cast<int>(std::ceil(std::min(wait, 1.0) * 1e3));
     const int count = ::poll(polled_.data(), polled_.size(), ms);  // EINTR: nothing was ready, next pass
+    const Seconds polled = clock_now();
     if (count > 0) {
         struct Ready {
             int fd;
@@ -59,7 +61,12 @@
             if (seat.watcher && seat.since == each.since) seat.watcher->ready(each.events);
         }
     }
-    due.run(clock_now());
+    // Danger: a process that is stopped right here finds all deadlines over before it has read what came
+    // meanwhile. Then what is due waits for one more look at the descriptors.
+    const Seconds now = clock_now();
+    const bool late = now > polled + kStopped || polled > begun + ms * 1e-3 + kStopped;
+    if (!late || looked_again_) due.run(now);
+    looked_again_ = late && !looked_again_;
     buried_.clear();
 }
 
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -45,6 +45,7 @@
     std::vector<std::unique_ptr<Watcher>> buried_;
     std::uint64_t uses_ = 0;
     std::size_t peak_ = 0;
+    bool looked_again_ = false;
 };
 
 }  // namespace tideline::net
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -36,9 +36,10 @@
 
 }  // namespace
 
-Sidecar::Sidecar(Loop& loop, Log& log, const Slip& slip)
+Sidecar::Sidecar(Loop& loop, Log& log, const Slip& slip, Onlooker* onlooker)
     : loop_(loop),
       log_(log),
+      onlooker_(onlooker),
       terms_(slip.terms),
       name_(slip.name),
       listens_(slip.listen),
@@ -70,6 +71,7 @@
     must(held->out == 0 || overlap_, "dispatches are out together only where allowed");
     const DispatchNo no{held->dispatches++};
     ++held->out;
+    if (onlooker_) onlooker_->dispatched(pod);
     pods_.dispatch(inv, no, pod, std::min(stop_at, held->ends));
 }
 void Sidecar::conclude(InvId inv, std::string_view answer) {
@@ -89,6 +91,13 @@
     ++terminated_;
     conclude(inv, pg::error("ERROR", "58000", "terminated"));
 }
+void Sidecar::vote(Build build, Stage stage, Vote vote) {
+    if (onlooker_) onlooker_->voted(vote);
+    platform_.vote(build, stage, vote);
+}
+void Sidecar::marked(Build, Stage) {
+    if (onlooker_) onlooker_->marked();
+}
 void Sidecar::alarm(Seconds after, AlarmId alarm) {
     loop_.due.at(clock_now() + after, [this, alarm] { choice_->alarm_rang(clock_now(), alarm); });
 }
@@ -171,6 +180,7 @@
 void Sidecar::listed(ListKind kind, const std::vector<PodLine>& lines,
                      const std::vector<Address>& addresses) {
     ++lists_;
+    if (onlooker_) onlooker_->list_told(list_.revision(), kind, lines, addresses);
     pods_.listed(kind, lines, addresses);
     choice_->pods_listed(clock_now(), kind, lines);
     pods_.review();
@@ -183,7 +193,11 @@
     log_.line("list lost: {}", why);
     choice_->list_lost(clock_now());
 }
+bool Sidecar::takes_revision(std::int64_t revision) {
+    return !onlooker_ || onlooker_->takes_revision(revision);
+}
 void Sidecar::stage_told(Build build, Stage stage, Phase phase, double cap, Seconds age) {
+    if (onlooker_ && !onlooker_->news_told(build, stage, phase, cap, age)) return;
     choice_->stage_told(clock_now(), build, stage, phase, cap, age);
     pods_.review();
 }
@@ -193,6 +207,20 @@
 }
 void Sidecar::vote_answered(VoteReply reply) { choice_->vote_answered(clock_now(), reply); }
 
+// --- What the fleet hands over, and what it asks to be careful about
+void Sidecar::hand_list(std::int64_t revision, const std::vector<PodLine>& lines,
+                        const std::vector<Address>& addresses) {
+    list_.handed(revision);
+    listed(ListKind::whole, lines, addresses);
+}
+void Sidecar::hand_news(Build build, Stage stage, Phase phase, double cap, Seconds age) {
+    stage_told(build, stage, phase, cap, age);
+}
+void Sidecar::stand(Stand stand) {
+    choice_->stand_told(clock_now(), stand);
+    pods_.review();
+}
+
 // --- The end, and what is told of this sidecar
 void Sidecar::let_go() {
     if (!letting_go_) let_go_since_ = clock_now();
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -9,20 +9,27 @@
 #include "net/clients.hpp"
 #include "net/list.hpp"
 #include "net/log.hpp"
+#include "net/onlooker.hpp"
 #include "net/platform.hpp"
 #include "net/pods.hpp"
 #include "net/slip.hpp"
 
 namespace tideline::net {
 
-class Sidecar : public Host, Clients::Owner, Pods::Owner, List::Owner, Platform::Owner {
+class Sidecar : public Host, public Ward, Clients::Owner, Pods::Owner, List::Owner, Platform::Owner {
   public:
-    Sidecar(Loop& loop, Log& log, const Slip& slip);
+    // `onlooker`: told of what this sidecar acts on; none where the fleet is off.
+    Sidecar(Loop& loop, Log& log, const Slip& slip, Onlooker* onlooker = nullptr);
     ~Sidecar() override;
     void let_go();                    // after SIGTERM
     void take_up(const Slip& fresh);  // after SIGHUP: what can change at run time
     bool done() const { return letting_go_ && clients_.size() == 0; }  // what is held has a client that waits
     void report();
+    // Ward
+    void hand_list(std::int64_t revision, const std::vector<PodLine>& lines,
+                   const std::vector<Address>& addresses) override;
+    void hand_news(Build build, Stage stage, Phase phase, double cap, Seconds age) override;
+    void stand(Stand stand) override;
 
   private:
     struct Held {  // an invocation that was taken, until nothing of it is out
@@ -43,7 +50,8 @@
     void probe(const PodId& pod) override { pods_.probe(pod); }
     void follow_list() override { list_.follow(); }
     void fetch_list() override { list_.fetch(); }
-    void vote(Build build, Stage stage, Vote vote) override { platform_.vote(build, stage, vote); }
+    void vote(Build build, Stage stage, Vote vote) override;
+    void marked(Build build, Stage stage) override;
     void alarm(Seconds after, AlarmId alarm) override;
     void note(const std::string& text) override { log_.line("{}", text); }
     // Clients::Owner
@@ -66,6 +74,7 @@
     void listed(ListKind kind, const std::vector<PodLine>& lines,
                 const std::vector<Address>& addresses) override;
     void list_lost(const std::string& why) override;
+    bool takes_revision(std::int64_t revision) override;
     // Platform::Owner
     void stage_told(Build build, Stage stage, Phase phase, double cap, Seconds age) override;
     void answer_flagged(const std::string& operation, const PodId& pod, Seconds sent_ago) override;
@@ -80,6 +89,7 @@
 
     Loop& loop_;
     Log& log_;
+    Onlooker* const onlooker_;
     const Terms terms_;
     std::string name_;
     Address listens_;
--- a/src/net/slip.cpp
+++ b/src/net/slip.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 #include "terms_of.hpp"
@@ -32,9 +33,10 @@
 Slip read_slip(const std::string& path) {
     std::ifstream file(path);
     if (!file) throw std::runtime_error("can't read " + path);
-    const json from = json::parse(file, nullptr, false);
-    if (!from.is_object()) throw std::runtime_error("no JSON object in " + path);
     Slip slip;
+    slip.text.assign(std::istreambuf_iterator<char>(file), {});
+    const json from = json::parse(slip.text, nullptr, false);
+    if (!from.is_object()) throw std::runtime_error("no JSON object in " + path);
     slip.name =
         from.contains("name") && from["name"].is_string() ? from["name"].get<std::string>() : "sidecar";
     slip.listen = need_address(from, "/listen");
--- a/src/net/slip.hpp
+++ b/src/net/slip.hpp
@@ -16,6 +16,7 @@
     std::size_t sockets = 0;  // descriptors; 0: no limit told
     nlohmann::json known, news;
     Terms terms;
+    std::string text;                            // as it was read
     double need(const std::string& term) const;  // throws std::runtime_error, naming the term
 };
 
--- a/src/words.hpp
+++ b/src/words.hpp
@@ -36,6 +36,9 @@
 enum class Vote { none, on, hold, back };
 enum class VoteReply { counted, ignored, full, failed, timed_out };
 
+// How much of a trial this sidecar may take part in, told by what stands above it; open where nothing does.
+enum class Stand { open, first_stage, no_trial };
+
 // What is told at start, by name, in our words; times in seconds, yes and no as 1 and 0.
 using Term = std::variant<double, std::string>;
 using Terms = std::map<std::string, Term>;
