--- a/src/cli/ask.cpp
+++ b/src/cli/ask.cpp
@@ -7,9 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
-#include "fleet/frame.hpp"
-#include "fleet/wire.hpp"
-#include "net/link.hpp"
+#include "fleet/question.hpp"
 
 namespace tideline::cli {
 namespace {
@@ -17,45 +15,6 @@
 using namespace tideline::fleet;
 using nlohmann::ordered_json;
 
-constexpr std::size_t kFrameMost = 64 * 1024 * 1024;  // bytes: the most an operator file may allow
-
-// One question, and the rows that come for it.
-class Question : public net::Link {
-  public:
-    Question(net::Loop& loop, const net::Address& address, const wire::Word& word)
-        : Link(loop, kFrameMost + kFrameHead) {
-        open(address);
-        put(frame_with(word));
-    }
-    std::vector<wire::Row> rows;
-    wire::Fleet head;
-    bool whole = false, over = false;
-    std::string why;
-
-  protected:
-    void came_in() override {
-        std::string_view body;
-        for (std::size_t used = 0; !over;) {
-            const FrameRead read = next_frame(in_.all(), kFrameMost, body, used, why);
-            if (read == FrameRead::more) return;
-            wire::Word word;
-            if (read == FrameRead::bad || !read_word(body, word) || !word.has_fleet()) {
-                if (why.empty()) why = "an answer to something else";
-                over = true;
-                return;
-            }
-            in_.drop(used);
-            head = word.fleet();
-            for (const wire::Row& row : head.rows()) rows.push_back(row);
-            if (head.last()) whole = over = true;
-        }
-    }
-    void ended() override {
-        over = true;
-        if (why.empty()) why = "the connection ended";
-    }
-};
-
 const char* phase_word(std::uint32_t phase) {
     constexpr const char* kWords[] = {"trial", "reverting", "released", "withdrawn"};
     return phase < 4 ? kWords[phase] : "?";
@@ -201,14 +160,11 @@
     const auto address = net::address_of(wish.at);
     if (!address) throw std::runtime_error("no address: " + wish.at + "; it is to be host:port in digits");
     net::Loop loop;
-    wire::Word word;
-    word.mutable_ask_fleet()->set_audit(wish.audit);
-    Question question(loop, *address, word);
-    const auto limit = loop.due.at(net::clock_now() + wish.within, [&] {
+    Question question(loop, *address, wish.audit);
+    loop.due.at(net::clock_now() + wish.within, [&] {
         question.over = true;
         if (question.why.empty()) question.why = fmt::format("nothing more came within {} s", wish.within);
     });
-    (void)limit;
     while (!question.over) loop.pass();
     question.close();
     if (question.rows.empty()) {
--- /dev/null
+++ b/tools/rig/main.cpp
@@ -0,0 +1,297 @@
+// The rig: real processes of the program as a fleet, failures between them, and a check of the whole record.
+// Loopback only; ends by itself.
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+
+#include "rig/check.hpp"
+
+namespace {
+
+using namespace tideline;
+using namespace tideline::rig;
+
+constexpr Seconds kSettleWithin = 25;  // s: after all is healed
+
+struct Result {
+    std::vector<std::string> faults;
+    std::vector<std::pair<std::string, double>> figures;
+};
+
+class Play {
+  public:
+    explicit Play(const Wish& wish) : world(loop, wish) {}
+    net::Loop loop;
+    World world;
+    Result result;
+
+    void expect(bool holds, const std::string& what) {
+        if (!holds) result.faults.push_back(what);
+    }
+    void figure(const std::string& name, double value) { result.figures.emplace_back(name, value); }
+    void begin() {
+        world.begin();
+        world.watch();
+        const bool met = world.run_until(kSettleWithin, [&] { return current(); });
+        expect(met, "the fleet did not come together");
+        figure("all current after start, s", net::clock_now() - world.start);
+    }
+    bool current() const { return world.newest() && world.all_current(*world.newest()); }
+    // The time until audits say so.
+    Seconds until(const std::string& what, Seconds most, const std::function<bool(const Seen&)>& says) {
+        const Seconds from = net::clock_now();
+        std::size_t looked = world.seen.size();
+        const bool came = world.run_until(most, [&] {
+            for (; looked < world.seen.size(); ++looked)
+                if (world.seen[looked].from >= from && says(world.seen[looked])) return true;
+            return false;
+        });
+        expect(came, "not seen: " + what);
+        figure(what + ", s", net::clock_now() - from);
+        return net::clock_now() - from;
+    }
+    static std::string state(const Seen& seen, int member) {
+        const auto it = seen.rows.find(member);
+        return it == seen.rows.end() ? "" : it->second.state;
+    }
+    void settle() {
+        until("all current again", kSettleWithin, [&](const Seen& seen) { return world.all_current(seen); });
+        // So it is for others too.
+        until("all current, asked elsewhere", kSettleWithin,
+              [&](const Seen& seen) { return world.all_current(seen); });
+    }
+    void finish() {
+        for (std::size_t i = 1; i < world.members.size(); ++i) world.members[i].clients->stop();
+        world.run(1.8);
+        for (std::string& fault : faults_of(world)) result.faults.push_back(std::move(fault));
+    }
+};
+
+void offer(Play& play) {
+    play.world.apply({0, "offer", {kTrialBuild}});
+    play.world.run(0.5);
+    play.world.apply({0, "stage", {1}});
+    play.world.run(0.5);
+}
+
+// Its list and platform fall silent while the world goes on: peers hand over what it lacks.
+void brought_up(Play& play) {
+    offer(play);
+    play.world.apply({0, "mute", {5}});
+    play.world.apply({0, "pod", {}});
+    play.world.apply({0, "back", {}});
+    play.until("a lagging member is brought up", 10, [&](const Seen& seen) {
+        return seen.by != 5 && Play::state(seen, 5) == "current" &&
+               play.world.log_of(5).find("brought up on news") != std::string::npos &&
+               play.world.log_of(5).find("brought up on the list") != std::string::npos;
+    });
+    play.world.apply({0, "speak", {5}});
+}
+
+// It speaks but hears nothing: nobody can bring it up. It is shut out, and let in once it is current again.
+void shut_out(Play& play) {
+    offer(play);
+    play.world.apply({0, "mute", {4}});
+    for (int other = 1; other <= play.world.wish.members; ++other)
+        if (other != 4) play.world.apply({0, "cut", {static_cast<double>(other), 4}});
+    play.world.apply({0, "back", {}});
+    const Seconds from = net::clock_now();
+    play.until("it takes the careful stand itself", 10, [&](const Seen&) {
+        const auto stood = stands_of(play.world, 4);
+        return !stood.empty() && stood.back().stand != "open";
+    });
+    play.until("a straggler is seen", 10,
+               [&](const Seen& seen) { return seen.by != 4 && Play::state(seen, 4) == "straggler"; });
+    play.until("it is shut out", 10,
+               [&](const Seen& seen) { return seen.by != 4 && Play::state(seen, 4) == "shut out"; });
+    play.figure("shut out after it fell behind, s", net::clock_now() - from);
+    play.world.run(1);
+    play.world.apply({0, "heal", {}});
+    play.world.apply({0, "speak", {4}});
+    play.until("it is let in again", 15,
+               [&](const Seen& seen) { return seen.by != 4 && Play::state(seen, 4) == "current"; });
+}
+
+// One member's list tells revisions that nobody else has.
+void mad(Play& play) {
+    play.world.apply({0, "lie", {7}});
+    for (int i = 0; i < 8; ++i) {
+        play.world.apply({0, "pod", {}});
+        play.world.run(0.7);
+    }
+    for (const Seen& seen : play.world.seen)
+        for (const auto& [member, row] : seen.rows)
+            if (row.state == "straggler" || row.state == "shut out")
+                play.expect(false,
+                            fmt::format("n{} is held to be {} for one member's word", member, row.state));
+}
+
+// Two halves, then one again, with nobody's help.
+void partition(Play& play) {
+    const int half = play.world.wish.members / 2;
+    play.world.apply({0, "split", {static_cast<double>(half)}});
+    play.until("each half has the other for gone", 20, [&](const Seen& seen) {
+        int gone = 0;
+        for (const auto& [member, row] : seen.rows) gone += row.state == "gone";
+        return seen.whole &&
+               gone == play.world.wish.members - (seen.by <= half ? half : play.world.wish.members - half);
+    });
+    play.world.apply({0, "pod", {}});
+    play.world.run(1);
+    play.world.apply({0, "heal", {}});
+}
+
+// Killed, its disk kept; killed, its disk lost.
+void restarts(Play& play) {
+    const auto life = [&](int member) {
+        const Seen* seen = play.world.newest();
+        return seen && seen->rows.contains(member) ? seen->rows.at(member).life : 0;
+    };
+    for (const bool wiped : {false, true}) {
+        const auto before = life(3);
+        play.world.apply({0, "kill", {3}});
+        play.until("a death is known", 15, [&](const Seen& seen) { return Play::state(seen, 3) == "gone"; });
+        if (wiped) play.world.apply({0, "wipe", {3}});
+        play.world.apply({0, "start", {3}});
+        play.until("a return is known", 15, [&](const Seen& seen) {
+            return seen.by != 3 && Play::state(seen, 3) == "current" && seen.rows.at(3).life > before;
+        });
+    }
+}
+
+// One member's links take 3 s each way; it must not make others look dead.
+void slow(Play& play) {
+    play.world.apply({0, "slow", {6, 3}});
+    const Seconds from = net::clock_now();
+    play.world.run(8);
+    for (const Seen& seen : play.world.seen)
+        for (const auto& [member, row] : seen.rows)
+            if (seen.from > from && seen.by != 6 && member != 6 && row.state == "gone")
+                play.expect(false,
+                            fmt::format("n{} has n{} for gone while only n6 is slow", seen.by, member));
+    play.world.apply({0, "slow", {6, 0}});
+}
+
+// Stands still for longer than it takes to be held for gone, and goes on.
+void stands_still(Play& play) {
+    play.world.apply({0, "stop", {2}});
+    play.until("one that stands still is held for gone", 15,
+               [&](const Seen& seen) { return Play::state(seen, 2) == "gone"; });
+    const Seconds from = net::clock_now();
+    play.world.apply({0, "go", {2}});
+    play.world.run(3);
+    for (const Seen& seen : play.world.seen)
+        for (const auto& [member, row] : seen.rows)
+            if (seen.from > from && seen.by == 2 && row.state == "gone")
+                play.expect(false, fmt::format("after its stand-still n2 has n{} for gone", member));
+}
+
+const std::vector<std::pair<std::string, void (*)(Play&)>> kScenarios = {
+    {"brought-up", brought_up}, {"shut-out", shut_out},         {"mad", mad},  {"partition", partition},
+    {"restarts", restarts},     {"stands-still", stands_still}, {"slow", slow}};
+
+void tell(const std::string& name, const Result& result, Seconds took, const std::string& folder) {
+    fmt::print("{:24} {:7} {:5.1f} s", name, result.faults.empty() ? "holds" : "FAULTS", took);
+    for (const auto& [what, value] : result.figures) fmt::print("; {} {:.2f}", what, value);
+    fmt::print("\n");
+    for (const std::string& fault : result.faults) fmt::print("    {}\n", fault);
+    if (!result.faults.empty()) fmt::print("    logs in {}\n", folder);
+    std::fflush(stdout);
+}
+
+template <class Part>
+bool play_one(const std::string& name, Wish wish, Part part) {
+    const Seconds began = net::clock_now();
+    wish.keep = true;
+    Play play(wish);
+    try {
+        play.begin();
+        part(play);
+        play.settle();
+        play.finish();
+    } catch (const std::exception& error) {
+        play.result.faults.push_back(error.what());
+    }
+    tell(name, play.result, net::clock_now() - began, play.world.folder);
+    if (play.result.faults.empty()) (void)!std::system(("rm -r " + play.world.folder).c_str());
+    return play.result.faults.empty();
+}
+
+void play_events(Play& play, const std::vector<Event>& events) {
+    const Seconds start = net::clock_now();
+    for (const Event& event : events) {
+        play.world.run(std::max(0.0, start + event.at - net::clock_now()));
+        play.world.apply(event);
+    }
+    play.world.apply({0, "heal", {}});
+    for (int i = 1; i <= play.world.wish.members; ++i) {
+        const double member = i;
+        play.world.apply({0, "slow", {member, 0}});
+        play.world.apply({0, "go", {member}});
+        play.world.apply({0, "speak", {member}});
+    }
+    play.world.run(2.5);
+    for (int i = 1; i <= play.world.wish.members; ++i)
+        play.world.apply({0, "start", {static_cast<double>(i)}});
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
+    Wish wish;
+    std::string scenario, schedule;
+    int seeds = 1;
+    Seconds length = 15;
+    bool show = false;
+    CLI::App app("Real processes as a fleet, failures between them, a check of the whole record.",
+                 "tideline_rig");
+    app.add_option("--program", wish.program, "the sidecar's program")
+        ->check(CLI::ExistingFile)
+        ->capture_default_str();
+    app.add_option("--members", wish.members, "how many")->check(CLI::Range(4, 40))->capture_default_str();
+    app.add_option("--rate", wish.rate, "invocations a second and member")->capture_default_str();
+    app.add_option("--scenario", scenario, "one of the fixed ones, or all");
+    app.add_option("--schedule", schedule, "a file of events, a line each")->check(CLI::ExistingFile);
+    app.add_option("--seed", wish.seed, "first seed of drawn schedules")->capture_default_str();
+    app.add_option("--seeds", seeds, "how many seeds")->capture_default_str();
+    app.add_option("--length", length, "seconds of drawn events")->capture_default_str();
+    app.add_flag("--show", show, "print the drawn schedule, play nothing");
+    CLI11_PARSE(app, argc, argv);
+    bool good = true;
+    int played = 0;
+    try {
+        if (!schedule.empty()) {
+            std::ifstream file(schedule);
+            const auto events = read_schedule({std::istreambuf_iterator<char>(file), {}}, wish.members);
+            good &= play_one(schedule, wish, [&](Play& play) { play_events(play, events); });
+            ++played;
+        }
+        for (const auto& [name, part] : kScenarios)
+            if (scenario == name || scenario == "all") {
+                ++played;
+                good &= play_one(name, wish, part);
+            }
+        const bool drawn = schedule.empty() && scenario.empty();
+        for (int i = 0; drawn && i < seeds; ++i, ++wish.seed, ++played) {
+            const auto events = drawn_schedule(wish.seed, wish.members, length);
+            if (show) {
+                for (const Event& event : events) fmt::print("{}\n", text_of(event));
+                continue;
+            }
+            good &= play_one(fmt::format("seed {}", wish.seed), wish,
+                             [&](Play& play) { play_events(play, events); });
+        }
+    } catch (const std::exception& error) {
+        fmt::print(stderr, "tideline_rig: {}\n", error.what());
+        return 2;
+    }
+    if (played == 0) {
+        fmt::print(stderr, "tideline_rig: no scenario {}\n", scenario);
+        return 2;
+    }
+    return good ? 0 : 1;
+}
--- /dev/null
+++ b/tools/rig/relay.cpp
@@ -0,0 +1,112 @@
+#include "rig/relay.hpp"
+
+#include <arpa/inet.h>
+
+#include <deque>
+
+#include "stand/server.hpp"
+
+namespace tideline::rig {
+
+class Relay::End : public net::Link {
+  public:
+    End(Relay& all, Splice& splice, bool dialled)
+        : Link(all.loop_), all_(all), splice_(splice), dialled_(dialled) {}
+    std::string take() {
+        const std::string bytes(in_.all());
+        in_.drop(bytes.size());
+        return bytes;
+    }
+
+  protected:
+    void came_in() override { all_.pass_on(splice_, !dialled_); }
+    void ended() override { all_.drop(&splice_); }
+
+  private:
+    Relay& all_;
+    Splice& splice_;
+    const bool dialled_;  // by the relay, to the member behind
+};
+
+struct Relay::Splice {
+    struct Held {
+        Seconds due;
+        std::string bytes;
+    };
+    int from = 0, to = 0;
+    std::unique_ptr<End> near, far;
+    std::deque<Held> forth, back;
+    net::Due::Key next_forth = net::Due::kNone, next_back = net::Due::kNone;
+};
+
+Relay::Relay(net::Loop& loop, int members) : loop_(loop) {
+    for (int to = 1; to <= members; ++to) {
+        listeners_.push_back(std::make_unique<net::Listener>(loop, [this, to](int fd) { took(to, fd); }));
+        if (!listeners_.back()->listen(stand::at_port(to, kFleetPort, kDialledNet)))
+            throw std::runtime_error("the relay can't listen");
+    }
+}
+Relay::~Relay() {
+    for (auto& [key, splice] : splices_)
+        loop_.due.cancel(splice->next_forth), loop_.due.cancel(splice->next_back);
+}
+
+void Relay::took(int to, int fd) {
+    auto made = std::make_unique<Splice>();
+    Splice& splice = *made;
+    splices_.emplace(&splice, std::move(made));
+    splice.to = to;
+    splice.near = std::make_unique<End>(*this, splice, false);
+    splice.near->adopt(fd);
+    const std::uint32_t host = splice.near->peer_host();
+    if ((ntohl(host) >> 16) == (127u << 8 | kDialledNet))
+        splice.from = static_cast<int>(ntohl(host) & 0xffff);
+    splice.far = std::make_unique<End>(*this, splice, true);
+    splice.far->open(stand::at_port(to, kFleetPort, kListenNet), host);
+}
+
+void Relay::pass_on(Splice& splice, bool forth) {
+    End& from = forth ? *splice.near : *splice.far;
+    const Way way = forth ? Way{splice.from, splice.to} : Way{splice.to, splice.from};
+    auto& held = forth ? splice.forth : splice.back;
+    if (std::string bytes = from.take(); !bytes.empty()) {
+        const auto by = delay_.find(way);
+        held.push_back({net::clock_now() + (by == delay_.end() ? 0 : by->second), std::move(bytes)});
+    }
+    if (is_cut(way)) return;
+    End& to = forth ? *splice.far : *splice.near;
+    while (!held.empty() && held.front().due <= net::clock_now()) {
+        bytes_ += held.front().bytes.size();
+        to.put(held.front().bytes);
+        held.pop_front();
+    }
+    net::Due::Key& next = forth ? splice.next_forth : splice.next_back;
+    if (held.empty() || next != net::Due::kNone) return;
+    next = loop_.due.at(held.front().due, [this, &splice, &next, forth] {
+        next = net::Due::kNone;
+        pass_on(splice, forth);
+    });
+}
+void Relay::flush() {
+    for (auto& [key, splice] : splices_) pass_on(*splice, true), pass_on(*splice, false);
+}
+void Relay::heal() {
+    cut_.clear(), delay_.clear();
+    flush();
+}
+void Relay::heal(Way way) {
+    cut_.erase(way), delay_.erase(way);
+    flush();
+}
+
+void Relay::drop(Splice* splice) {
+    const auto it = splices_.find(splice);
+    if (it == splices_.end()) return;
+    loop_.due.cancel(splice->next_forth);
+    loop_.due.cancel(splice->next_back);
+    for (auto* end : {&splice->near, &splice->far})
+        if (*end) (*end)->close(), loop_.bury(std::move(*end));
+    splices_.erase(it);
+}
+
+}  // namespace tideline::rig
--- /dev/null
+++ b/tools/rig/relay.hpp
@@ -0,0 +1,46 @@
+// Stands between members: each dials the others at addresses of the relay, which passes bytes on to the
+// member behind. Who dialled is told by the address it comes from, so that each direction of each pair can be
+// cut or made slow. What is cut is held, as on a network that goes silent, and delivered late once it heals.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "net/listener.hpp"
+
+namespace tideline::rig {
+
+constexpr int kFleetPort = 7800;
+constexpr int kDialledNet = 2, kListenNet = 1;  // 127.2.0.i is dialled, 127.1.0.i listens
+
+class Relay {
+  public:
+    Relay(net::Loop& loop, int members);
+    ~Relay();
+    using Way = std::pair<int, int>;  // from, to; members count from 1
+    void cut(Way way) { cut_.insert(way); }
+    void delay(Way way, Seconds by) { delay_[way] = by; }
+    void heal();  // all ways, and what was held is delivered
+    void heal(Way way);
+    bool is_cut(Way way) const { return cut_.contains(way); }
+    std::uint64_t bytes() const { return bytes_; }
+
+  private:
+    class End;
+    struct Splice;
+    void took(int to, int fd);
+    void pass_on(Splice& splice, bool forth);
+    void drop(Splice* splice);
+    void flush();
+    net::Loop& loop_;
+    std::vector<std::unique_ptr<net::Listener>> listeners_;
+    std::map<Splice*, std::unique_ptr<Splice>> splices_;
+    std::set<Way> cut_;
+    std::map<Way, Seconds> delay_;
+    std::uint64_t bytes_ = 0;
+};
+
+}  // namespace tideline::rig
--- /dev/null
+++ b/tools/rig/schedule.hpp
@@ -0,0 +1,31 @@
+// What is done to the fleet and when: one line an event, read from a file or drawn from a seed.
+//   2.5 kill 3            the process ends at once          start 3, wipe 3 (its folder), term 3
+//   2.5 stop 3            it stands still                   go 3
+//   2.5 cut 1 2           from 1 to 2 only                  heal 1 2 (from 1 to 2), heal (all)
+//   2.5 split 6           members up to 6 from the rest, both ways
+//   2.5 slow 3 3.0        all that it sends and gets takes 3 s more
+//   2.5 mute 3            its list and platform tell it nothing new      speak 3
+//   2.5 lie 3             its list tells revisions that nobody else has
+//   2.5 pod, drain        one more pod, one that drains     offer 42, stage 1, back, release
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "words.hpp"
+
+namespace tideline::rig {
+
+struct Event {
+    Seconds at = 0;
+    std::string what;
+    std::vector<double> with;
+};
+
+std::string text_of(const Event& event);
+// Throws std::runtime_error naming the line that is none.
+std::vector<Event> read_schedule(const std::string& text, int members);
+std::vector<Event> drawn_schedule(std::uint32_t seed, int members, Seconds length);
+
+}  // namespace tideline::rig
--- /dev/null
+++ b/tools/rig/world.cpp
@@ -0,0 +1,287 @@
+#include "rig/world.hpp"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include "stand/slips.hpp"
+
+namespace tideline::rig {
+namespace {
+
+using namespace stand;
+
+constexpr int kPodPort = 5432, kListPort = 8500, kPlatformPort = 6400, kClientPort = 5433;
+constexpr int kFirstPods = 4;
+constexpr Seconds kWatchEvery = 0.25;  // s: from one audit to the next
+constexpr Seconds kAnswerWithin = 4;   // s: an audit that takes longer is not whole
+
+int host_of(int member) { return 256 + member; }
+
+}  // namespace
+
+World::World(net::Loop& its_loop, const Wish& its_wish)
+    : loop(its_loop),
+      wish(its_wish),
+      list(loop),
+      platform(loop),
+      members(static_cast<std::size_t>(wish.members) + 1),
+      relay(loop, wish.members) {
+    char name[] = "/tmp/tideline-rig-XXXXXX";
+    if (!::mkdtemp(name)) throw std::runtime_error("no folder under /tmp");
+    folder = name;
+    platform.by_votes = false;
+    for (int i = 0; i < kFirstPods; ++i) add_pod(41);
+    for (int i = 1; i <= wish.members; ++i) {
+        Member& member = members[static_cast<std::size_t>(i)];
+        member.list_door = list.open_door(at_port(host_of(i), kListPort));
+        member.platform_door = platform.open_door(at_port(host_of(i), kPlatformPort));
+        if (member.list_door < 0 || member.platform_door < 0) throw std::runtime_error("can't open doors");
+        member.clients =
+            std::make_unique<ClientStand>(loop, at_port(host_of(i), kClientPort), fmt::format("c{}", i),
+                                          wish.seed * 1000 + static_cast<std::uint32_t>(i));
+    }
+}
+World::~World() {
+    loop.due.cancel(watch_);
+    for (auto& member : members) member.process.reset();
+    if (!wish.keep) std::filesystem::remove_all(folder);
+}
+
+void World::add_pod(int build) {
+    const int host = 512 + static_cast<int>(pods.size());
+    pods.push_back(std::make_unique<PodStand>(loop, static_cast<std::uint32_t>(host)));
+    pods.back()->build = build;
+    if (!pods.back()->listen(at_port(host, kPodPort))) throw std::runtime_error("can't listen for pods");
+    ready_.push_back(fmt::format("pod-{}", pods.size()));
+    list.put(pod_entry(ready_.back(), text_of(at_port(host, kPodPort)), build));
+}
+
+void World::start_member(int i) {
+    Member& member = members[static_cast<std::size_t>(i)];
+    if (member.process->runs()) return;
+    const nlohmann::json told = {
+        {"name", fmt::format("n{}", i)},
+        {"listen", text_of(at_port(host_of(i), kClientPort))},
+        {"discovery", text_of(at_port(host_of(i), kListPort))},
+        {"seed", fmt::format("{:x}", wish.seed * 7919 + static_cast<unsigned>(i))},
+        {"limits", {{"sockets", 512}}},
+        {"deployer", {{"address", text_of(at_port(host_of(i), kPlatformPort))}, {"news", platform.state()}}},
+        {"known", list.whole()},
+        {"settings", settings(wish.members)}};
+    const std::string path = fmt::format("{}/n{}", folder, i);
+    std::ofstream(path + ".json") << told.dump(1);
+    std::ofstream(path + ".cfg") << fmt::format(
+        "fleet = {{ member = \"n{}\"; place = \"p{}\"; listen = \"{}\"; address = \"{}\";\n"
+        "  seeds = [\"{}\", \"{}\"]; folder = \"{}.disk\";\n"
+        "  membership = {{ period = {}; answer_wait = {}; regain_every = 0.6; remember = 600; }};\n"
+        "  audit = {{ witnesses = 3; grace = {}; out_after = {}; blind_after = {}; most_out = {}; epochs = "
+        "64; }};\n"
+        "}};\n",
+        i, i % 3, text_of(at_port(i, kFleetPort, kListenNet)), text_of(at_port(i, kFleetPort, kDialledNet)),
+        text_of(at_port(1, kFleetPort, kDialledNet)), text_of(at_port(2, kFleetPort, kDialledNet)), path,
+        kPeriod, kPeriod * 0.4, kGrace, kOutAfter, kBlindAfter, kMostOut);
+    member.process->start({wish.program, "sidecar", "--config", path + ".json", "--fleet", path + ".cfg"},
+                          path + ".log");
+    member.stopped = false;
+    up(i);
+}
+void World::up(int i) {
+    auto& spans = members[static_cast<std::size_t>(i)].up;
+    if (spans.empty() || spans.back().to < 1e18) spans.push_back({net::clock_now(), 1e18});
+}
+void World::down(int i) {
+    auto& spans = members[static_cast<std::size_t>(i)].up;
+    if (!spans.empty()) spans.back().to = std::min(spans.back().to, net::clock_now());
+}
+void World::begin() {
+    for (int i = 1; i <= wish.members; ++i) start_member(i);
+    run(1);
+    for (int i = 1; i <= wish.members; ++i) {
+        if (!members[static_cast<std::size_t>(i)].process->runs())
+            throw std::runtime_error(fmt::format("n{} did not start: {}", i, log_of(i)));
+        if (wish.rate > 0) members[static_cast<std::size_t>(i)].clients->begin(wish.rate);
+    }
+    start = net::clock_now();
+}
+void World::cut(int from, int to) {
+    if (from == to || relay.is_cut({from, to})) return;
+    relay.cut({from, to});
+    cuts[{from, to}].push_back({net::clock_now(), 1e18});
+}
+void World::heal(int from, int to) {
+    relay.heal({from, to});
+    if (auto& spans = cuts[{from, to}]; !spans.empty())
+        spans.back().to = std::min(spans.back().to, net::clock_now());
+}
+
+void World::apply(const Event& event) {
+    const std::string& what = event.what;
+    const auto with = [&](std::size_t i) { return static_cast<int>(event.with.at(i)); };
+    const int one = event.with.empty() ? 0 : with(0);
+    Member& member =
+        members[what == "offer" || what == "stage" || one > wish.members ? 0 : static_cast<std::size_t>(one)];
+    if (what == "kill") {
+        down(one);
+        member.process->signal(SIGKILL);
+        member.process->wait();
+    } else if (what == "term") {
+        down(one);
+        member.process->signal(SIGTERM);
+    } else if (what == "start") {
+        start_member(one);
+    } else if (what == "wipe") {
+        std::filesystem::remove_all(fmt::format("{}/n{}.disk", folder, one));
+    } else if (what == "stop") {
+        if (!member.process->runs()) return;
+        down(one);
+        member.stopped = true;
+        member.process->signal(SIGSTOP);
+    } else if (what == "go") {
+        member.process->signal(SIGCONT);
+        if (std::exchange(member.stopped, false) && member.process->runs()) up(one);
+    } else if (what == "cut") {
+        cut(one, with(1));
+    } else if (what == "heal") {
+        for (int from = 1; from <= wish.members; ++from)
+            for (int to = 1; to <= wish.members; ++to)
+                if (event.with.empty() || (from == one && to == with(1))) heal(from, to);
+    } else if (what == "split") {
+        for (int a = 1; a <= one; ++a)
+            for (int b = one + 1; b <= wish.members; ++b) cut(a, b), cut(b, a);
+    } else if (what == "slow") {
+        for (int other = 1; other <= wish.members; ++other)
+            relay.delay({one, other}, event.with[1]), relay.delay({other, one}, event.with[1]);
+    } else if (what == "mute" || what == "speak") {
+        list.mute(member.list_door, what == "mute");
+        platform.mute(member.platform_door, what == "mute");
+        if (what == "mute")
+            member.muted.push_back({net::clock_now(), 1e18});
+        else if (!member.muted.empty())
+            member.muted.back().to = std::min(member.muted.back().to, net::clock_now());
+    } else if (what == "lie") {
+        list.lie(member.list_door, 1000000);
+    } else if (what == "pod") {
+        add_pod(pods.size() % 2 ? 41 : kTrialBuild);
+    } else if (what == "drain") {
+        if (ready_.size() <= 4) return;
+        const std::string id = ready_[2];
+        ready_.erase(ready_.begin() + 2);
+        const int host = 511 + std::stoi(id.substr(4));
+        nlohmann::json entry = pod_entry(id, text_of(at_port(host, kPodPort)),
+                                         pods[static_cast<std::size_t>(host - 512)]->build);
+        entry["phase"] = "Terminating";
+        list.put(entry);
+    } else if (what == "offer") {
+        add_pod(one), add_pod(one);
+        platform.offer(one);
+    } else if (what == "stage") {
+        platform.move(one, "canary", platform.caps.at(static_cast<std::size_t>(one)));
+    } else if (what == "back") {
+        platform.move(platform.state()["step"].get<int>(), "reverting", 0);
+    } else if (what == "release") {
+        platform.move(platform.state()["step"].get<int>(), "stable", 1);
+    }
+    const auto state = platform.state();
+    if (state["version"] == kTrialBuild)
+        caps.emplace_back(net::clock_now(),
+                          state["status"] == "stable" ? 2.0 : state["maxWeight"].get<double>());
+}
+
+void World::run(Seconds span) {
+    run_until(span, [] { return false; });
+}
+bool World::run_until(Seconds most, const std::function<bool()>& holds) {
+    const Seconds until = net::clock_now() + most;
+    bool woken = false;
+    for (;;) {
+        if (holds()) return true;
+        if (net::clock_now() >= until) return false;
+        net::Due::Key wake = loop.due.at(std::min(until, net::clock_now() + 0.05), [&] { woken = true; });
+        woken = false;
+        while (!woken && !holds()) loop.pass();
+        if (!woken) loop.due.cancel(wake);
+    }
+}
+
+void World::ask(int by) {
+    const Seconds from = net::clock_now();
+    auto& question = asking_[by];
+    question = std::make_unique<fleet::Question>(loop, at_port(by, kFleetPort, kListenNet), true);
+    fleet::Question* its = question.get();
+    loop.due.at(from + 0.05, [this, by, its, from] {
+        const auto again = [this, by, its, from](auto self) -> void {
+            const auto it = asking_.find(by);
+            if (it == asking_.end() || it->second.get() != its) return;
+            if (!its->over && net::clock_now() < from + kAnswerWithin) {
+                loop.due.at(net::clock_now() + 0.02, [self] { self(self); });
+                return;
+            }
+            Seen one{from, net::clock_now(), by, its->whole, {}};
+            for (const auto& row : its->rows)
+                if (row.entry().name().size() > 1)
+                    one.rows[std::stoi(row.entry().name().substr(1))] = {
+                        row.state(), row.fault(), row.entry().life(),
+                        static_cast<int>(row.record().open().stand())};
+            its->close();
+            loop.bury(std::move(it->second));
+            asking_.erase(it);
+            seen.push_back(std::move(one));
+        };
+        again(again);
+    });
+}
+void World::watch() {
+    for (int tries = 0; tries < wish.members; ++tries) {
+        turn_ = turn_ % wish.members + 1;
+        const Member& member = members[static_cast<std::size_t>(turn_)];
+        if (!member.process->runs() || member.stopped || asking_.contains(turn_)) continue;
+        ask(turn_);
+        break;
+    }
+    watch_ = loop.due.at(net::clock_now() + kWatchEvery, [this] { watch(); });
+}
+const Seen* World::last(int by) const {
+    for (auto it = seen.rbegin(); it != seen.rend(); ++it)
+        if (it->by == by && it->whole) return &*it;
+    return nullptr;
+}
+bool World::all_current(const Seen& one) const {
+    int current = 0;
+    for (const auto& [member, row] : one.rows)
+        current += row.state == "current" && row.fault.empty() && row.stand == 0;
+    return one.whole && current == wish.members && static_cast<int>(one.rows.size()) == wish.members;
+}
+
+std::string World::log_of(int member) const {
+    std::ifstream file(fmt::format("{}/n{}.log", folder, member));
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+long World::memory_of(int member) const {
+    std::ifstream file(
+        fmt::format("/proc/{}/status", members[static_cast<std::size_t>(member)].process->pid()));
+    for (std::string word; file >> word;)
+        if (word == "VmRSS:" && file >> word) return std::stol(word);
+    return 0;
+}
+double World::cpu_of(int member) const {
+    std::ifstream file(
+        fmt::format("/proc/{}/stat", members[static_cast<std::size_t>(member)].process->pid()));
+    std::string word;
+    double ticks = 0;
+    for (int i = 1; i <= 15 && file >> word; ++i)
+        if (i >= 14) ticks += std::stod(word);
+    return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+std::size_t World::descriptors_of(int member) const {
+    std::error_code error;
+    const std::filesystem::directory_iterator all(
+        fmt::format("/proc/{}/fd", members[static_cast<std::size_t>(member)].process->pid()), error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(std::filesystem::begin(all), std::filesystem::end(all)));
+}
+
+}  // namespace tideline::rig
--- /dev/null
+++ b/tools/rig/world.hpp
@@ -0,0 +1,106 @@
+// The fleet under the rig: real processes of the program, each with its own doors to list and platform and
+// its own clients, the relay between them, pods that keep what they ran; and what is written down for the
+// check.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/question.hpp"
+#include "rig/relay.hpp"
+#include "rig/schedule.hpp"
+#include "stand/client.hpp"
+#include "stand/list.hpp"
+#include "stand/platform.hpp"
+#include "stand/pod.hpp"
+#include "stand/process.hpp"
+
+namespace tideline::rig {
+
+struct Wish {
+    std::string program = "build/tideline";
+    int members = 12;
+    std::uint32_t seed = 1;
+    double rate = 15;      // invocations a second and member
+    bool bring_up = true;  // else no member hands over anything (an operator's grace so long that none asks)
+    bool keep = false;     // the folder, also where all is well
+};
+
+// The times that the members are told; short, so that a run is.
+constexpr Seconds kPeriod = 0.2, kGrace = 1, kOutAfter = 1.5, kBlindAfter = 2.5;
+constexpr double kMostOut = 0.25;
+constexpr int kTrialBuild = 42;
+
+struct Span {
+    Seconds from = 0, to = 1e18;
+    bool holds(Seconds at) const { return at >= from && at < to; }
+};
+struct SeenRow {
+    std::string state, fault;
+    std::uint64_t life = 0;
+    int stand = 0;
+};
+struct Seen {  // an audit
+    Seconds from = 0, to = 0;
+    int by = 0;
+    bool whole = false;
+    std::map<int, SeenRow> rows;
+};
+
+class World {
+  public:
+    World(net::Loop& loop, const Wish& wish);
+    ~World();
+    void begin();
+    void apply(const Event& event);
+    void run(Seconds span);  // the loop
+    bool run_until(Seconds most, const std::function<bool()>& holds);
+    // An audit of one member after the other, a quarter of a second apart.
+    void watch();
+    bool all_current(const Seen& seen) const;
+    const Seen* last(int by) const;  // the last whole audit by that member
+    const Seen* newest() const { return seen.empty() ? nullptr : &seen.back(); }
+    std::string log_of(int member) const;
+    long memory_of(int member) const;  // KB resident
+    double cpu_of(int member) const;   // s
+    std::size_t descriptors_of(int member) const;
+
+    struct Member {
+        std::unique_ptr<stand::Process> process = std::make_unique<stand::Process>();
+        std::unique_ptr<stand::ClientStand> clients;
+        std::vector<Span> up;  // process there, and not stopped
+        std::vector<Span> muted;
+        int list_door = -1, platform_door = -1;
+        bool stopped = false;
+    };
+    net::Loop& loop;
+    const Wish wish;
+    Seconds start = 0;
+    std::string folder;
+    stand::ListStand list;
+    stand::PlatformStand platform;
+    std::vector<std::unique_ptr<stand::PodStand>> pods;
+    std::vector<Member> members;  // [0] is not used
+    Relay relay;
+    std::vector<Seen> seen;
+    std::vector<std::pair<Seconds, double>> caps;  // of the trial build, as the platform tells them
+    std::map<Relay::Way, std::vector<Span>> cuts;
+
+  private:
+    void start_member(int member);
+    void down(int member);
+    void up(int member);
+    void cut(int from, int to);
+    void heal(int from, int to);
+    void add_pod(int build);
+    void ask(int by);
+    net::Due::Key watch_ = net::Due::kNone;
+    std::map<int, std::unique_ptr<fleet::Question>> asking_;
+    std::vector<std::string> ready_;  // ids of pods that are listed as ready
+    int turn_ = 0;
+};
+
+}  // namespace tideline::rig
--- a/tools/stand/list.cpp
+++ b/tools/stand/list.cpp
@@ -17,12 +17,14 @@
             for (const auto& [revision, member] : all.told_)
                 if (revision > from) changes.push_back(member);
         if (changes.empty()) return peer.line("");
-        peer.line(json{{"revision", all.revision_}, {"complete", false}, {"members", changes}}.dump());
+        peer.line(
+            json{{"revision", all.revision_ + beyond}, {"complete", false}, {"members", changes}}.dump());
     }
     void went(int no) { server.drop(no); }
     ListStand& all;
     Server<Peer, Door> server;
     bool muted = false;
+    std::int64_t beyond = 0;
     json frozen;
 };
 
@@ -42,6 +44,10 @@
     if (!muted) at.server.each([&](auto& peer) { at.server.drop(peer.no); });
 }
 
+void ListStand::lie(int door, std::int64_t beyond) {
+    doors_[static_cast<std::size_t>(door)]->beyond = beyond;
+}
+
 json ListStand::whole() const {
     json members = json::array();
     for (const auto& [id, member] : members_) members.push_back(member);
@@ -61,13 +67,14 @@
 
 void ListStand::tell(const json& member) {
     told_.emplace_back(++revision_, member);
-    const std::string line =
-        json{{"revision", revision_}, {"complete", false}, {"members", json::array({member})}}.dump();
-    for (auto& door : doors_)
-        if (!door->muted)
-            door->server.each([&](auto& peer) {
-                if (peer.streams) peer.line(line);
-            });
+    for (auto& door : doors_) {
+        if (door->muted) continue;
+        const json change = {
+            {"revision", revision_ + door->beyond}, {"complete", false}, {"members", json::array({member})}};
+        door->server.each([line = change.dump()](auto& peer) {
+            if (peer.streams) peer.line(line);
+        });
+    }
 }
 
 void ListStand::beat() {
--- a/tools/stand/list.hpp
+++ b/tools/stand/list.hpp
@@ -19,6 +19,8 @@
     int open_door(const net::Address& address);
     // A muted door still gives signs of life, but tells no change and the list as it was.
     void mute(int door, bool muted);
+    // A door that lies tells revisions that the list never had.
+    void lie(int door, std::int64_t beyond);
     void put(const nlohmann::json& member);  // one more, or changed; told at once
     void gone(const std::string& id);
     nlohmann::json whole() const;
--- a/tools/stand/pod.cpp
+++ b/tools/stand/pod.cpp
@@ -42,9 +42,10 @@
         return true;
     }
     void run(std::string_view body) {
-        Ran ran{net::clock_now(), {}, {}};
+        Ran ran{net::clock_now(), {}, {}, {}};
         pg::statement(body.substr(0, body.size() - 1), [&](std::string_view name, std::string_view value) {
             if (name == "id") ran.inv = value;
+            if (name == "c") ran.op = value;
             if (name == "t") ran.customer = value;
         });
         const std::string value = "value of " + ran.inv;
--- a/tools/stand/pod.hpp
+++ b/tools/stand/pod.hpp
@@ -12,7 +12,8 @@
 
 struct Ran {  // a dispatch that arrived whole
     Seconds at = 0;
-    std::string inv;       // its id in the statement
+    std::string inv;  // its id in the statement
+    std::string op;
     std::string customer;  // rigs name the sidecar there
 };
 
@@ -23,6 +24,7 @@
     bool listen(const net::Address& address);
     void close();  // as a process that dies
 
+    int build = 0;
     Seconds least = 0.004, most = 0.012;  // how long an answer takes
     double failing = 0;                   // share of dispatches that end in an error
     std::vector<Ran> ran;
--- a/tools/stand/server.hpp
+++ b/tools/stand/server.hpp
@@ -48,9 +48,10 @@
     int next_ = 0;
 };
 
-inline net::Address at_port(int host, int port) {  // 127.0.<host / 256>.<host % 256>
-    return *net::address_of("127.0." + std::to_string(host / 256) + "." + std::to_string(host % 256) + ":" +
-                            std::to_string(port));
+// 127.<net>.<host / 256>.<host % 256>
+inline net::Address at_port(int host, int port, int net = 0) {
+    return *net::address_of("127." + std::to_string(net) + "." + std::to_string(host / 256) + "." +
+                            std::to_string(host % 256) + ":" + std::to_string(port));
 }
 using net::text_of;
 
