--- a/tools/rig/world.hpp
+++ b/tools/rig/world.hpp
@@ -24,9 +24,10 @@
     std::string program = "build/tideline";
     int members = 12;
     std::uint32_t seed = 1;
-    double rate = 15;      // invocations a second and member
-    bool bring_up = true;  // else no member hands over anything (an operator's grace so long that none asks)
-    bool keep = false;     // the folder, also where all is well
+    double rate = 15;   // invocations a second and member
+    int narrow = 0;     // this member takes frames of 16 KB only
+    int filler = 0;     // draining entries in the list, which make it long
+    bool keep = false;  // the folder, also where all is well
 };
 
 // The times that the members are told; short, so that a run is.
