--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -83,6 +83,8 @@
 int serve(const ServeWish& wish) {
     const Slip slip = read_slip(wish.told);
     Log log(wish.log);
+    // Danger: protobuf writes its own complaints to standard error, and waits for a slow reader.
+    google::protobuf::SetLogHandler(nullptr);
     Loop loop;
     Signals signals(loop);
     std::unique_ptr<fleet::Fellow> fellow;
--- a/src/fleet/roll.cpp
+++ b/src/fleet/roll.cpp
@@ -106,7 +106,8 @@
         if (it->second.life > from.life) return;
         if (it->second.life == from.life) {
             if (from.ruling < it->second.ruling) entry.ruling = it->second.ruling, entry.out = it->second.out;
-            if (it->second.turn > from.turn || it->second.standing > from.standing) {
+            if (it->second.turn > from.turn ||
+                (it->second.turn == from.turn && it->second.standing > from.standing)) {
                 it->second.version = from.version;
                 return;
             }
--- /dev/null
+++ b/tests/frames.cpp
@@ -0,0 +1,169 @@
+// Frames, words and the operator file: round trips, any split, damage.
+#include <rapidcheck.h>
+
+#include "fleet/frame.hpp"
+#include "fleet/treaty.hpp"
+#include "fleet/wire.hpp"
+#include "fleet_helpers.hpp"
+
+namespace tideline::test {
+namespace {
+
+constexpr std::size_t kMost = 4096;
+
+// All whole frames of the bytes, given in pieces of those sizes; false at the end if one was bad.
+std::pair<std::vector<std::string>, bool> read_in_pieces(const std::string& bytes,
+                                                         const std::vector<std::size_t>& sizes) {
+    std::vector<std::string> bodies;
+    std::string held;
+    std::size_t at = 0;
+    for (std::size_t i = 0; at < bytes.size(); ++i) {
+        const std::size_t piece = sizes.empty() ? bytes.size() : 1 + sizes[i % sizes.size()] % 50;
+        held += bytes.substr(at, piece);
+        at += piece;
+        for (;;) {
+            std::string_view body;
+            std::size_t whole = 0;
+            std::string why;
+            const FrameRead read = next_frame(held, kMost, body, whole, why);
+            if (read == FrameRead::bad) return {bodies, false};
+            if (read == FrameRead::more) break;
+            bodies.emplace_back(body);
+            held.erase(0, whole);
+        }
+    }
+    return {bodies, held.empty()};
+}
+Entry drawn_entry() {
+    Entry entry;
+    entry.name = Name{*rc::gen::nonEmpty<std::string>()};
+    entry.life = Life{*rc::gen::arbitrary<std::uint64_t>()},
+    entry.turn = Turn{*rc::gen::arbitrary<std::uint32_t>()};
+    entry.standing = static_cast<Standing>(*rc::gen::inRange(0, 4));
+    entry.by = Name{*rc::gen::arbitrary<std::string>()}, entry.address = *rc::gen::arbitrary<std::string>();
+    entry.version = {ListRevision{*rc::gen::arbitrary<std::uint64_t>()},
+                     NewsRank{*rc::gen::arbitrary<std::uint64_t>()}};
+    entry.ruling = *rc::gen::arbitrary<std::uint32_t>(), entry.out = *rc::gen::arbitrary<bool>();
+    return entry;
+}
+bool same(const Entry& a, const Entry& b) {
+    return std::tie(a.name, a.life, a.turn, a.standing, a.by, a.address, a.version.list, a.version.news,
+                    a.ruling, a.out) == std::tie(b.name, b.life, b.turn, b.standing, b.by, b.address,
+                                                 b.version.list, b.version.news, b.ruling, b.out);
+}
+
+}  // namespace
+
+TEST_CASE("frames come out as they went in, however they are split") {
+    CHECK(rc::check([](const std::vector<std::string>& bodies, const std::vector<std::size_t>& sizes) {
+        std::string bytes;
+        for (const std::string& body : bodies) bytes += frame_of(body);
+        const auto [read, good] = read_in_pieces(bytes, sizes);
+        RC_ASSERT(good);
+        RC_ASSERT(read == bodies);
+    }));
+}
+
+TEST_CASE("a frame with any one byte damaged is never taken for another body") {
+    CHECK(rc::check([](const std::string& body) {
+        std::string bytes = frame_of(body);
+        const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        bytes[at] = static_cast<char>(bytes[at] ^ *rc::gen::inRange(1, 256));
+        const auto [read, good] = read_in_pieces(bytes, {});
+        RC_ASSERT(read.empty());
+    }));
+}
+
+TEST_CASE("a length beyond the bound is told at once, not waited for") {
+    std::string bytes = frame_of(std::string(kMost + 1, 'x')).substr(0, kFrameHead);
+    std::string_view body;
+    std::size_t whole = 0;
+    std::string why;
+    CHECK(next_frame(bytes, kMost, body, whole, why) == FrameRead::bad);
+    CHECK(why == "a frame of 4097 bytes, 4096 at most");
+    CHECK(next_frame("HTTP", kMost, body, whole, why) == FrameRead::bad);
+    CHECK(next_frame(bytes.substr(0, 7), kMost, body, whole, why) == FrameRead::more);
+}
+
+TEST_CASE("entries and records come out of a word as they went in") {
+    CHECK(rc::check([] {
+        const Entry entry = drawn_entry();
+        wire::Word word, read;
+        put(Gossip{entry}, *word.mutable_ping()->mutable_gossip());
+        std::string_view body;
+        std::size_t whole = 0;
+        std::string why;
+        const std::string frame = frame_with(word);
+        RC_ASSERT(next_frame(frame, 1 << 20, body, whole, why) == FrameRead::whole);
+        RC_ASSERT(read_word(body, read));
+        RC_ASSERT(same(gossip_from(read.ping().gossip()).at(0), entry));
+    }));
+    struct None : audit::LedgerHost {
+        void sealed(const audit::Epoch&) override {}
+    } none;
+    audit::Ledger ledger(none, Name{"a"}, Life{3}, Disk{9}, "root", {}, 4, 10);
+    for (int i = 0; i < 9; ++i) {
+        audit::Acting acting;
+        acting.build = Build{i}, acting.cap = 0.1 * i, acting.stand = Stand::first_stage;
+        ledger.dispatched(true), ledger.voted(Vote::back);
+        ledger.acts_on(11 + i * 0.37, acting);
+    }
+    wire::Record told;
+    put(ledger.record(), told);
+    const audit::Record read = record_from(told);
+    CHECK(audit::fault_of(read).empty());
+    CHECK(read.epochs.size() == ledger.record().epochs.size());
+    CHECK(read.open.acting == ledger.acting());
+    CHECK(read.fold->counts == ledger.record().fold->counts);
+}
+
+TEST_CASE("a word with a number outside its words is read as one of them") {
+    wire::Entry odd;
+    odd.set_name("x"), odd.set_standing(99);
+    CHECK(entry_from(odd).standing == Standing::left);
+    wire::Word read;
+    CHECK_FALSE(read_word("", read));
+    CHECK_FALSE(read_word("\xff\xff\xff", read));
+}
+
+TEST_CASE("an operator file is taken whole, or each fault of it told with its line") {
+    Treaty treaty;
+    const std::string good =
+        "fleet = {\n  member = \"n1\"; place = \"r\";\n  listen = \"127.0.0.1:7801\";\n"
+        "  seeds = [\"127.0.0.1:7802\"];\n  audit = { grace = 2; witnesses = 4; };\n};\n";
+    REQUIRE(read_treaty(good, treaty).empty());
+    CHECK(treaty.address == "127.0.0.1:7801");
+    CHECK(treaty.currency.grace == 2);
+    CHECK(treaty.currency.witnesses == 4);
+    CHECK(treaty.digest.size() == 16);
+
+    const auto faults = [](const std::string& text) {
+        Treaty unused;
+        std::string all;
+        for (const Fault& fault : read_treaty(text, unused)) all += text_of("f", fault) + "\n";
+        return all;
+    };
+    CHECK(faults("fleet = {\n member = \"n\";\n listen = 7;\n colour = 1;\n audit = {\n  most_out = 1.5;\n "
+                 "};\n};") ==
+          "f:3: fleet.listen: is to be host:port in digits\nf:4: fleet.colour: is not known here\n"
+          "f:6: fleet.audit.most_out: 1.5 is not from 0 to 0.9\n");
+    CHECK(faults("fleet = { member = \"n\"; };").find("listen is missing") != std::string::npos);
+    CHECK(faults("fleet = {\n member = \"n\"\n listen") == "f:3: syntax error\n");
+    CHECK(faults("").find("fleet is missing") != std::string::npos);
+    CHECK(faults("fleet = 3;").find("is to be a group") != std::string::npos);
+    CHECK(faults("fleet = { membership = { period = 0.1; answer_wait = 0.09; }; };").find("more than half") !=
+          std::string::npos);
+    // Whatever is cut off or put in, it is read or told, never taken for half.
+    CHECK(rc::check([&] {
+        std::string text = good;
+        text.resize(*rc::gen::inRange<std::size_t>(0, text.size()));
+        const auto at = *rc::gen::inRange<std::size_t>(0, text.size() + 1);
+        text.insert(at, *rc::gen::arbitrary<std::string>());
+        Treaty read;
+        const auto told = read_treaty(text, read);
+        for (const Fault& fault : told) RC_ASSERT(!fault.what.empty());
+        if (told.empty()) RC_ASSERT(!read.name.value.empty() && !read.listen.empty());
+    }));
+}
+
+}  // namespace tideline::test
--- /dev/null
+++ b/tests/ledger.cpp
@@ -0,0 +1,220 @@
+// The ledger's chain, what others remember of it, and what outlives the process.
+#include "audit/ledger.hpp"
+
+#include <rapidcheck.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "audit/heads.hpp"
+#include "fleet/archive.hpp"
+#include "fleet_helpers.hpp"
+
+namespace tideline::test {
+namespace {
+
+using namespace audit;
+
+struct Sealed : LedgerHost {
+    std::vector<Epoch> epochs;
+    void sealed(const Epoch& epoch) override { epochs.push_back(epoch); }
+};
+Acting on_list(std::uint64_t revision) {
+    Acting acting;
+    acting.version.list = ListRevision{revision}, acting.told = "t", acting.program = "p";
+    return acting;
+}
+Ledger lived(Sealed& host, int epochs, std::size_t kept = 100) {
+    Ledger ledger(host, Name{"a"}, Life{3}, Disk{1}, {}, on_list(1), kept, 10);
+    for (int i = 2; i <= epochs + 1; ++i) {
+        for (int k = 0; k < i; ++k) ledger.dispatched(k % 2 == 0);
+        ledger.voted(Vote::on), ledger.drained(1);
+        ledger.acts_on(10 + i, on_list(static_cast<std::uint64_t>(i)));
+    }
+    return ledger;
+}
+
+struct Folder {
+    Folder() {
+        char name[] = "/tmp/tideline-archive-XXXXXX";
+        path = ::mkdtemp(name);
+    }
+    ~Folder() { std::filesystem::remove_all(path); }
+    std::string path;
+};
+
+}  // namespace
+
+TEST_CASE("the same acting opens no epoch; another one seals the present") {
+    Sealed host;
+    Ledger ledger = lived(host, 3);
+    CHECK(host.epochs.size() == 3);
+    CHECK(ledger.head_number() == 3);
+    ledger.acts_on(50, on_list(4));
+    CHECK(host.epochs.size() == 3);
+    CHECK(ledger.since() == 14);
+    CHECK(fault_of(ledger.record()).empty());
+}
+
+TEST_CASE("any field that is changed after the seal is found") {
+    Sealed host;
+    Record record = lived(host, 4).record();
+    const int which = GENERATE(range(0, 17));
+    Epoch& epoch = record.epochs[1];
+    switch (which) {
+        case 0:
+            epoch.acting.version.list.value ^= 1;
+            break;
+        case 1:
+            epoch.acting.version.news.value ^= 1;
+            break;
+        case 2:
+            epoch.acting.build.value ^= 1;
+            break;
+        case 3:
+            epoch.acting.stage.value ^= 1;
+            break;
+        case 4:
+            epoch.acting.phase = Phase::trial;
+            break;
+        case 5:
+            epoch.acting.cap += 0.01;
+            break;
+        case 6:
+            epoch.acting.stand = Stand::no_trial;
+            break;
+        case 7:
+            epoch.acting.told = "T";
+            break;
+        case 8:
+            epoch.acting.program += "x";
+            break;
+        case 9:
+            ++epoch.counts.trial;
+            break;
+        case 10:
+            ++epoch.counts.earlier;
+            break;
+        case 11:
+            ++epoch.counts.on_votes;
+            break;
+        case 12:
+            ++epoch.counts.back_votes;
+            break;
+        case 13:
+            ++epoch.counts.marks;
+            break;
+        case 14:
+            ++epoch.counts.drains;
+            break;
+        case 15:
+            epoch.to -= 0.5;
+            break;
+        default:
+            record.epochs.erase(record.epochs.begin() + 1);
+    }
+    CHECK_FALSE(fault_of(record).empty());
+}
+
+TEST_CASE("old epochs fold into sums and the chain still holds from there") {
+    Sealed host;
+    Ledger ledger = lived(host, 40, 8);
+    const Record& record = ledger.record();
+    REQUIRE(record.fold);
+    CHECK(record.epochs.size() <= 8);
+    CHECK(record.fold->epochs + record.epochs.size() == 40);
+    Counts all = record.fold->counts;
+    for (const Epoch& epoch : record.epochs) all += epoch.counts;
+    CHECK(all.drains == 40);
+    CHECK(all.trial + all.earlier == 860);
+    CHECK(fault_of(record).empty());
+    Record cut = record;
+    cut.fold->last -= 1;
+    CHECK_FALSE(fault_of(cut).empty());
+}
+
+TEST_CASE("two histories of one life, or one made anew with good seals, do not fit what was shown") {
+    Sealed host;
+    Heads heads;
+    const Record before = lived(host, 3).record();
+    REQUIRE(heads.shown(Name{"a"}, Life{3}, 3, before.epochs.back().digest).empty());
+    CHECK(heads.fault_of(before).empty());
+    SECTION("made anew") {
+        Ledger other(host, Name{"a"}, Life{3}, Disk{1}, {}, on_list(1), 100, 10);
+        for (std::uint64_t i = 2; i < 6; ++i) other.acts_on(10 + static_cast<double>(i), on_list(i));
+        REQUIRE(fault_of(other.record()).empty());
+        CHECK_FALSE(heads.fault_of(other.record()).empty());
+        CHECK_FALSE(heads.shown(Name{"a"}, Life{3}, 3, other.record().epochs[2].digest).empty());
+    }
+    SECTION("shorter than shown") {
+        Record cut = before;
+        cut.open = cut.epochs.back(), cut.epochs.pop_back();
+        CHECK(fault_of(cut).empty());
+        CHECK_FALSE(heads.fault_of(cut).empty());
+        // Shown late it is no fault; another seal of that epoch is.
+        CHECK(heads.shown(Name{"a"}, Life{3}, 2, before.epochs[1].digest).empty());
+        CHECK_FALSE(heads.shown(Name{"a"}, Life{3}, 2, before.epochs[0].digest).empty());
+    }
+    SECTION("a new life begins its own") {
+        CHECK(heads.shown(Name{"a"}, Life{4}, 1, "x").empty());
+        CHECK(heads.shown(Name{"a"}, Life{3}, 1, "late").empty());
+    }
+}
+
+TEST_CASE("a folder keeps life and last seal; a lost one is another disk; another's is refused") {
+    Folder folder;
+    const auto epoch = [](std::uint64_t number) {
+        Epoch one;
+        one.number = number, one.digest = "seal " + std::to_string(number);
+        return one;
+    };
+    Life first;
+    {
+        fleet::Archive archive(folder.path, Name{"a"}, 77, 1000);
+        first = archive.life();
+        CHECK(archive.disk().value == 77);
+        CHECK(archive.root().empty());
+        CHECK(archive.keep(epoch(1)));
+        CHECK(archive.keep(epoch(2)));
+    }
+    const std::string epochs = folder.path + "/epochs";
+    SECTION("again, with a clock set back an hour") {
+        fleet::Archive archive(folder.path, Name{"a"}, 78, 0);
+        CHECK(archive.life() > first);
+        CHECK(archive.disk().value == 77);
+        CHECK(archive.root() == "seal 2");
+        CHECK(archive.found().empty());
+    }
+    SECTION("cut off in the last record") {
+        std::filesystem::resize_file(epochs, std::filesystem::file_size(epochs) - 3);
+        fleet::Archive archive(folder.path, Name{"a"}, 78, 2000);
+        CHECK(archive.root() == "seal 1");
+        CHECK(archive.found().find("cut off") != std::string::npos);
+        CHECK(archive.keep(epoch(1)));
+        fleet::Archive next(folder.path, Name{"a"}, 78, 3000);
+        CHECK(next.found().empty());
+    }
+    SECTION("rotten in the middle") {
+        std::fstream file(epochs, std::ios::in | std::ios::out | std::ios::binary);
+        file.seekp(30);
+        file.put('\x7f');
+        file.close();
+        fleet::Archive archive(folder.path, Name{"a"}, 78, 2000);
+        CHECK(archive.root().empty());
+        CHECK(archive.found().find("damaged at byte 0") != std::string::npos);
+    }
+    SECTION("wiped") {
+        std::filesystem::remove_all(folder.path);
+        fleet::Archive archive(folder.path, Name{"a"}, 78, 2000);
+        CHECK(archive.disk().value == 78);
+        CHECK(archive.root().empty());
+    }
+    SECTION("another's") {
+        CHECK_THROWS_WITH(fleet::Archive(folder.path, Name{"b"}, 78, 2000),
+                          Catch::Contains("belongs to member a"));
+    }
+}
+
+}  // namespace tideline::test
--- a/tools/rig/world.hpp
+++ b/tools/rig/world.hpp
@@ -75,7 +75,7 @@
         std::vector<Span> up;  // process there, and not stopped
         std::vector<Span> muted;
         int list_door = -1, platform_door = -1;
-        bool stopped = false;
+        bool stopped = false, ending = false;
     };
     net::Loop& loop;
     const Wish wish;
