One member at a time is asked for its word, so that its cost is flat by size

Cause: measured in virtual time, a member of 100 sent 13.4 messages a second, as hearsay of versions was never renewed and two members were asked in every look. Hearsay is now renewed, and one member is asked in half a grace, whoever was asked longest ago.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	$(AS_ROOT) env DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $$(cat packages.txt) >/dev/null
 
 build:
-	cmake -B build -DCMAKE_BUILD_TYPE=Release -DTIDELINE_TESTS=OFF
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DTIDELINE_TESTS=OFF -DTIDELINE_TOOLS=ON
 	cmake --build build -j4
 
 # Sidecars between the project's own stand-ins, through a rollout: a good build, then a bad one.
--- a/src/audit/currency.cpp
+++ b/src/audit/currency.cpp
@@ -11,7 +11,7 @@
 constexpr double kSeekPart = 0.5;      // of the grace: a member that lags by itself asks for what it lacks
 constexpr double kOfferGraces = 2;     // graces: an offer that nobody vouches for by then is dropped
 constexpr std::size_t kOrderMost = 8;  // members: those who may rule, one after the other
-constexpr int kWordsATick = 2;         // members asked for their word: bounded, whatever the fleet's size
+constexpr double kWordPart = 0.5;      // of the grace: one member is asked for its word, in any fleet
 constexpr double kFreshGraces = 2;     // graces: an older word is no ground to rule on
 
 constexpr Subject kSubjects[] = {Subject::list, Subject::news};
@@ -193,15 +193,19 @@
 }
 void Currency::judge_peers(Seconds now) {
     const Seconds fresh = now - kFreshGraces * terms_.grace;
-    // Hearsay only says whom to ask; a member that was not heard for long is asked too, a few at a time.
-    int words = 0;
+    // Hearsay only says whom to ask, and in a large fleet it is old: so one at a time, whoever was asked
+    // longest ago.
+    Peer* next = nullptr;
+    const Name* its_name = nullptr;
     for (auto& [name, peer] : peers_) {
         const bool lags = peer.hearsay.list.value < floors_.at(Subject::list) ||
                           peer.hearsay.news.value < floors_.at(Subject::news) || peer.behind_since >= 0;
-        if (!present(peer) || !lags || peer.heard > fresh || now < peer.asked + terms_.grace) continue;
-        if (++words > kWordsATick) break;
-        peer.asked = now;
-        host_->ask_word(name);
+        if (!present(peer) || !lags || peer.heard > fresh) continue;
+        if (!next || peer.asked < next->asked) next = &peer, its_name = &name;
+    }
+    if (next && now >= word_asked_ + kWordPart * terms_.grace) {
+        next->asked = word_asked_ = now;
+        host_->ask_word(*its_name);
     }
     if (self_below(Subject::list) || self_below(Subject::news) || stand_ != Stand::open) return;
     const std::size_t order = order_of_self();
--- a/src/audit/currency.hpp
+++ b/src/audit/currency.hpp
@@ -115,6 +115,7 @@
     std::map<Subject, Seconds> sought_;
     std::map<Name, Seconds> refusals_;
     std::size_t turn_ = 0;
+    Seconds word_asked_ = -1e18;
     bool ruled_ = false, bound_told_ = false;
     Stand stand_ = Stand::open;
 };
--- a/src/fleet/roll.cpp
+++ b/src/fleet/roll.cpp
@@ -152,8 +152,10 @@
     Entry& known = it->second;
     if (entry.life < known.life) return;
     if (entry.life == known.life) {
-        known.version.list = std::max(known.version.list, entry.version.list);
-        known.version.news = std::max(known.version.news, entry.version.news);
+        const Version before = known.version;
+        known.version.list = std::max(before.list, entry.version.list);
+        known.version.news = std::max(before.news, entry.version.news);
+        if (!(known.version == before)) host_->changed(known, known.standing, false);
         if (entry.ruling > known.ruling) {
             known.ruling = entry.ruling, known.out = entry.out;
             host_->changed(known, known.standing, false);
--- a/src/fleet/treaty.cpp
+++ b/src/fleet/treaty.cpp
@@ -30,7 +30,8 @@
 
     void fault(const Setting& at, const std::string& what) {
         const std::string path = at.getPath();
-        faults_.push_back({static_cast<int>(at.getSourceLine()), (path.empty() ? "" : path + ": ") + what});
+        faults_.push_back(
+            {static_cast<int>(at.getSourceLine()), path.empty() ? what : fmt::format("{}: {}", path, what)});
     }
     void group(const Setting& from, const std::map<std::string, Takes>& known) {
         if (!from.isGroup()) return fault(from, "is to be a group, { ... }");
@@ -132,7 +133,8 @@
                           {"audit", audit},
                           {"limits", limits}});
         for (const char* needed : {"member", "listen"})
-            if (from.isGroup() && !from.exists(needed)) read.fault(from, std::string(needed) + " is missing");
+            if (from.isGroup() && !from.exists(needed))
+                read.fault(from, fmt::format("{} is missing", needed));
         for (const std::string* each : {&treaty.name.value, &treaty.place.value})
             if (each->size() > kNameMost) read.fault(from, "a name of more than 100 bytes");
     };
@@ -159,7 +161,7 @@
     Treaty treaty;
     std::string all;
     for (const Fault& fault : read_treaty(text, treaty))
-        all += (all.empty() ? "" : "\n") + text_of(path, fault);
+        all += fmt::format("{}{}", all.empty() ? "" : "\n", text_of(path, fault));
     if (!all.empty()) throw std::runtime_error(all);
     return treaty;
 }
--- a/tools/virtual/fleet.cpp
+++ b/tools/virtual/fleet.cpp
@@ -1,5 +1,7 @@
 #include "virtual/fleet.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace tideline::simulated {
@@ -17,10 +19,7 @@
 
 }  // namespace
 
-Name Fleet::name_of(int member) {
-    std::string digits = std::to_string(member);
-    return Name{"m" + std::string(4 - std::min<std::size_t>(4, digits.size()), '0') + digits};
-}
+Name Fleet::name_of(int member) { return Name{fmt::format("m{:04}", member)}; }
 
 class Fleet::Node : public RollHost, public audit::CurrencyHost {
   public:
@@ -36,7 +35,7 @@
             1, fleet.revision_ - (fleet.muted_[static_cast<std::size_t>(number)] ? 1 : 0)));
         currency.acts_on(fleet.now_, Subject::news, kNews);
     }
-    static std::string address(int member) { return "a" + std::to_string(member); }
+    static std::string address(int member) { return fmt::format("a{}", member); }
     Entry entry() const {
         Entry own;
         own.name = name_of(number), own.life = Life{life}, own.address = address(number);
