Worlds, strangers, cost: every order in small worlds, nonsense at the port, off beside on

Need: the currency core is to hold in every order of events, the fleet's port against whoever connects, and its cost is to be known.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # setup, build, try, test, lint and run; everything goes to build/ and build-tests/
-.PHONY: setup packages build try test lint format run
+.PHONY: setup packages build try test faults worlds virtual lint format run
 SOURCES = $(shell find src tools tests -name '*.cpp' -o -name '*.hpp')
 AS_ROOT = $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 
@@ -24,6 +24,19 @@
 	cmake --build build-tests -j4
 	ctest --test-dir build-tests --output-on-failure
 
+# Real processes as a fleet and failures between them; any seed must pass.
+SEEDS = 3
+faults: build
+	build/tideline_rig --program build/tideline --scenario all
+	build/tideline_rig --program build/tideline --seeds $(SEEDS)
+
+# Every order of events in small worlds, and seeded virtual time, on the cores that ship.
+worlds: build
+	build/tideline_worlds --depth 6
+
+virtual: build
+	build/tideline_virtual check --seeds 10000
+
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
 
--- a/src/audit/currency.cpp
+++ b/src/audit/currency.cpp
@@ -321,4 +321,27 @@
     return behind <= 0 ? Verdict::current : behind <= terms_.grace ? Verdict::behind : Verdict::straggler;
 }
 
+std::string Currency::state() const {
+    std::string text;
+    const auto add = [&text](auto... parts) { ((text += std::to_string(parts), text += ' '), ...); };
+    for (const auto& [name, peer] : peers_) {
+        text += name.value;
+        add(peer.life.value, peer.hearsay.list.value, peer.hearsay.news.value, peer.heard, peer.behind_since,
+            peer.asked, peer.ruled, static_cast<int>(peer.standing));
+        for (const auto& [subject, mark] : peer.words) add(static_cast<int>(subject), mark.rank, mark.digest);
+    }
+    for (const auto& [subject, floor] : floors_) add(floor);
+    for (const auto& [subject, marks] : acted_)
+        for (const Mark& mark : marks) add(mark.rank, mark.digest);
+    for (const auto& [subject, since] : self_behind_) add(static_cast<int>(subject), since);
+    for (const auto& [subject, offer] : offers_) {
+        add(static_cast<int>(subject), offer.mark.rank, offer.mark.digest, offer.at);
+        for (const Name& name : offer.by) text += name.value;
+    }
+    for (const auto& [subject, at] : sought_) add(static_cast<int>(subject), at);
+    for (const auto& [name, at] : refusals_) text += name.value, add(at);
+    add(turn_, word_asked_, ruled_, bound_told_, static_cast<int>(stand_), now_);
+    return text;
+}
+
 }  // namespace tideline::audit
--- a/src/audit/currency.hpp
+++ b/src/audit/currency.hpp
@@ -71,6 +71,9 @@
     Verdict verdict(Seconds now, const Name& name) const;
     Seconds behind_for(Seconds now, const Name& name) const;
     Stand stand() const { return stand_; }
+    std::uint64_t acted() const { return rank(Subject::list); }  // on the list
+    std::string state()
+        const;  // all of it as a text, the same for the same state: for searches and for reading
     std::vector<Name> out() const;  // held to be shut out: ruled so, and by this member's own evidence
 
   private:
--- a/tools/rig/main.cpp
+++ b/tools/rig/main.cpp
@@ -7,7 +7,10 @@
 #include <fstream>
 #include <iterator>
 
+#include "fleet/frame.hpp"
+#include "fleet/wire.hpp"
 #include "rig/check.hpp"
+#include "stand/server.hpp"
 
 namespace {
 
@@ -204,11 +207,57 @@
                 play.expect(false, fmt::format("after its stand-still n2 has n{} for gone", member));
 }
 
+// Whoever connects and speaks nonsense, or says another's name.
+class Stranger : public net::Link {
+  public:
+    Stranger(net::Loop& loop, const std::string& says) : Link(loop) {
+        open(stand::at_port(3, kFleetPort, kListenNet));
+        put(says);
+    }
+    bool is_over = false;
+
+  protected:
+    void came_in() override { in_.drop(in_.size()); }
+    void ended() override { is_over = true; }
+};
+void strangers(Play& play) {
+    wire::Word word;
+    word.mutable_from()->mutable_self()->set_name("n5");
+    word.mutable_from()->mutable_self()->set_life(~0ULL);
+    word.mutable_from()->mutable_self()->set_address("127.2.0.5:7800");
+    word.mutable_from()->mutable_list()->set_rank(1ULL << 40);
+    word.mutable_ping()->set_no(1);
+    const std::string good = fleet::frame_with(word);
+    std::string damaged = good;
+    damaged.back() = static_cast<char>(damaged.back() ^ 1);
+    const std::string huge = good.substr(0, 4) + "\xff\xff\xff\x7f" + good.substr(8);
+    std::vector<std::unique_ptr<Stranger>> there;
+    std::vector<Stranger*> owed;  // an end
+    for (const std::string& says :
+         {std::string("GET / HTTP/1.1\r\n\r\n"), damaged, huge, fleet::frame_of("\x01"), good.substr(0, 9)}) {
+        there.push_back(std::make_unique<Stranger>(play.loop, says));
+        owed.push_back(there.back().get());
+    }
+    there.push_back(std::make_unique<Stranger>(play.loop, good));  // as n5, from elsewhere
+    play.world.run(0.5);  // or the next ones would have them let go unheard
+    for (int i = 0; i < 300; ++i) there.push_back(std::make_unique<Stranger>(play.loop, ""));
+    play.world.run(9);
+    for (const Stranger* each : owed)
+        play.expect(each->is_over, "a stranger that speaks nonsense is not ended");
+    std::size_t open = 0;
+    for (const auto& each : there) open += !each->is_over;
+    play.expect(open < 5, fmt::format("{} strangers that say nothing are not ended", open));
+    play.figure("descriptors after 300 strangers", static_cast<double>(play.world.descriptors_of(3)));
+    play.expect(play.world.log_of(3).find("a word as of n5 came from elsewhere") != std::string::npos,
+                "a word in another's name is taken");
+}
+
 const std::vector<std::pair<std::string, void (*)(Play&)>> kScenarios = {
     {"brought-up", brought_up},     {"hears-nothing", hears_nothing},
     {"shut-out", shut_out},         {"mad", mad},
     {"partition", partition},       {"restarts", restarts},
-    {"stands-still", stands_still}, {"slow", slow}};
+    {"stands-still", stands_still}, {"slow", slow},
+    {"strangers", strangers}};
 
 void tell(const std::string& name, const Result& result, Seconds took, const std::string& folder) {
     fmt::print("{:24} {:7} {:5.1f} s", name, result.faults.empty() ? "holds" : "FAULTS", took);
@@ -255,6 +304,33 @@
         play.world.apply({0, "start", {static_cast<double>(i)}});
 }
 
+// What the fleet costs a sidecar: the same load with it off and on.
+void cost(Wish wish) {
+    constexpr Seconds kSpan = 20;
+    fmt::print(
+        "mean of {} sidecars at {} invocations a second each, {:.0f} s\n\n"
+        "| fleet | CPU, ms a second | resident, KB | descriptors |\n| --- | --- | --- | --- |\n",
+        wish.members, wish.rate, kSpan);
+    for (const bool off : {true, false}) {
+        wish.off = off;
+        net::Loop loop;
+        World world(loop, wish);
+        world.begin();
+        world.run(5);
+        const auto mean = [&](auto of) {
+            double sum = 0;
+            for (int i = 1; i <= wish.members; ++i) sum += static_cast<double>(of(i));
+            return sum / wish.members;
+        };
+        const double before = mean([&](int i) { return world.cpu_of(i); });
+        world.run(kSpan);
+        const double cpu = (mean([&](int i) { return world.cpu_of(i); }) - before) / kSpan * 1e3;
+        fmt::print("| {} | {:.2f} | {:.0f} | {:.1f} |\n", off ? "off" : "on, period 0.2 s", cpu,
+                   mean([&](int i) { return world.memory_of(i); }),
+                   mean([&](int i) { return world.descriptors_of(i); }));
+    }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -263,7 +339,7 @@
     std::string scenario, schedule;
     int seeds = 1;
     Seconds length = 15;
-    bool show = false;
+    bool show = false, costs = false;
     CLI::App app("Real processes as a fleet, failures between them, a check of the whole record.",
                  "tideline_rig");
     app.add_option("--program", wish.program, "the sidecar's program")
@@ -276,11 +352,16 @@
     app.add_option("--seed", wish.seed, "first seed of drawn schedules")->capture_default_str();
     app.add_option("--seeds", seeds, "how many seeds")->capture_default_str();
     app.add_option("--length", length, "seconds of drawn events")->capture_default_str();
+    app.add_flag("--cost", costs, "what the fleet costs a sidecar, off and on");
     app.add_flag("--show", show, "print the drawn schedule, play nothing");
     CLI11_PARSE(app, argc, argv);
     bool good = true;
     int played = 0;
     try {
+        if (costs) {
+            cost(wish);
+            return 0;
+        }
         if (!schedule.empty()) {
             std::ifstream file(schedule);
             const auto events = read_schedule({std::istreambuf_iterator<char>(file), {}}, wish.members);
--- a/tools/rig/world.cpp
+++ b/tools/rig/world.cpp
@@ -93,8 +93,9 @@
         text_of(at_port(1, kFleetPort, kDialledNet)), text_of(at_port(2, kFleetPort, kDialledNet)), path,
         kPeriod, kPeriod * 0.4, kGrace, kOutAfter, kBlindAfter, kMostOut, i == wish.narrow ? 16384 : 1 << 20);
     std::ofstream(path + ".cfg") << treaty;
-    member.process->start({wish.program, "sidecar", "--config", path + ".json", "--fleet", path + ".cfg"},
-                          path + ".log");
+    std::vector<std::string> command{wish.program, "sidecar", "--config", path + ".json"};
+    if (!wish.off) command.insert(command.end(), {"--fleet", path + ".cfg"});
+    member.process->start(command, path + ".log");
     member.stopped = member.ending = false;
     up(i);
 }
--- a/tools/rig/world.hpp
+++ b/tools/rig/world.hpp
@@ -25,6 +25,7 @@
     int members = 12;
     std::uint32_t seed = 1;
     double rate = 15;   // invocations a second and member
+    bool off = false;   // without the fleet
     int narrow = 0;     // this member takes frames of 16 KB only
     int filler = 0;     // draining entries in the list, which make it long
     bool keep = false;  // the folder, also where all is well
