News goes before what a whole table told; the fleet's work a word no longer grows with it

Tables now go round in turn, the latest news goes first, a word that says nothing new is not worked through.

--- a/src/audit/currency.cpp
+++ b/src/audit/currency.cpp
@@ -81,11 +81,14 @@
     if (life < peer.life) return;
     // A life that begins anew may well begin behind.
     if (life > peer.life) peer = Peer{}, peer.life = life;
-    peer.heard = now;
+    peer.heard = now_ = now;
+    const auto before = peer.words;
     // Within a life nothing goes back; a word that does is of no use as evidence.
     if (list.rank >= word(peer, Subject::list)) peer.words[Subject::list] = list;
     if (news.rank >= word(peer, Subject::news)) peer.words[Subject::news] = news;
-    raise_floors(now);
+    // A fleet of a thousand says much and changes little: only what is new is worked through.
+    const bool fresh = peer.words != before;
+    if (fresh) raise_floors(now);
     // Danger: a word from before the floor rose says nothing of whether it lags. Only one that comes later
     // does.
     if (!below(peer))
@@ -93,7 +96,7 @@
     else if (peer.behind_since < 0)
         peer.behind_since = now;
     if (held_out(name)) host_->refuse(name);
-    take_stand(now);
+    if (fresh || stand_ != Stand::open) take_stand(now);
 }
 void Currency::known(Seconds, const fleet::Entry& entry) {
     if (entry.name == self_) return;
@@ -294,7 +297,7 @@
 }
 
 void Currency::tick(Seconds now) {
-    raise_floors(now);
+    now_ = now;
     bring_up(now);
     take_stand(now);
     judge_peers(now);
--- a/src/fleet/roll.cpp
+++ b/src/fleet/roll.cpp
@@ -56,9 +56,8 @@
 
 // --- What is told on
 void Roll::spread(const Name& name) {
-    if (const auto it = told_on_.find(name); it != told_on_.end()) hot_.erase({it->second, name});
-    told_on_[name] = 0;
-    hot_.emplace(0, name);
+    if (const auto it = told_on_.find(name); it != told_on_.end()) hot_.erase(it->second);
+    hot_.insert(told_on_[name] = Hot{0, --news_, name});
 }
 
 Gossip Roll::gossip_for(const Name& to) {
@@ -70,16 +69,16 @@
         in.insert(to);
     }
     const int most = static_cast<int>(std::ceil(kSpread * std::log2(size() + 1)));
-    std::vector<std::pair<int, Name>> sent;
-    for (const auto& each : hot_) {
+    std::vector<Hot> sent;
+    for (const Hot& each : hot_) {
         if (sent.size() >= kHotMost) break;
-        if (in.insert(each.second).second) sent.push_back(each);
+        if (in.insert(std::get<Name>(each)).second) sent.push_back(each);
     }
-    for (const auto& [times, name] : sent) {
+    for (const auto& [times, news, name] : sent) {
         gossip.push_back(name == self_.name ? self_ : others_.at(name));
-        hot_.erase({times, name});
+        hot_.erase({times, news, name});
         if (times + 1 < most)
-            told_on_[name] = times + 1, hot_.emplace(times + 1, name);
+            hot_.insert(told_on_[name] = Hot{times + 1, news, name});
         else
             told_on_.erase(name);
     }
@@ -140,12 +139,13 @@
     spread(self_.name);
 }
 
-void Roll::told(Seconds now, const Entry& entry, const Name& teller) {
+void Roll::told(Seconds now, const Entry& entry, const Name& teller, bool by_table) {
     if (entry.name == self_.name) return told_of_self(entry);
     const auto it = others_.find(entry.name);
     if (it == others_.end()) {
         // The dead are kept to be named; nobody joins as suspected without having been there.
-        put(now, entry);
+        // Danger: a whole table told on entry by entry would hold up what is news. It goes round in turn.
+        put(now, entry, by_table);
         if (entry.standing == Standing::suspected) accuse(now, entry.name, entry.by);
         return;
     }
@@ -184,7 +184,7 @@
 }
 
 // Takes the entry as it is.
-void Roll::put(Seconds now, const Entry& entry) {
+void Roll::put(Seconds now, const Entry& entry, bool quiet) {
     const auto [it, fresh] = others_.try_emplace(entry.name, entry);
     const Entry before = fresh ? Entry{} : it->second;
     const auto counts = [](Standing s) { return s == Standing::present || s == Standing::suspected; };
@@ -204,7 +204,7 @@
     }
     if (entry.standing != Standing::suspected) suspicions_.erase(entry.name);
     if (same) return;
-    spread(entry.name);
+    if (!quiet) spread(entry.name);
     host_->changed(entry, fresh ? Standing::left : before.standing, new_life);
 }
 
@@ -354,7 +354,7 @@
 }
 void Roll::table_told(Seconds now, const Entry& from, const Gossip& part, bool wants_back) {
     hear(now, from);
-    for (const Entry& entry : part) told(now, entry, from.name);
+    for (const Entry& entry : part) told(now, entry, from.name, true);
     if (wants_back && !left_) send_table(now, from.name, false);
     set_due();
 }
@@ -379,7 +379,7 @@
     for (const Name& name : over) {
         gone_since_.erase(name), others_.erase(name), tables_.erase(name);
         if (const auto it = told_on_.find(name); it != told_on_.end())
-            hot_.erase({it->second, name}), told_on_.erase(it);
+            hot_.erase(it->second), told_on_.erase(it);
     }
 }
 
--- a/src/fleet/roll.hpp
+++ b/src/fleet/roll.hpp
@@ -87,9 +87,9 @@
         Seconds until = 0;
     };
     void hear(Seconds now, const Entry& from);
-    void told(Seconds now, const Entry& entry, const Name& teller);
+    void told(Seconds now, const Entry& entry, const Name& teller, bool by_table = false);
     void told_of_self(const Entry& entry);
-    void put(Seconds now, const Entry& entry);
+    void put(Seconds now, const Entry& entry, bool quiet = false);
     void accuse(Seconds now, const Name& name, const Name& by);
     Seconds suspected_until(const Suspicion& suspicion) const;
     void expire(Seconds now);
@@ -118,10 +118,13 @@
     std::map<Name, Seconds> gone_since_;
     std::map<Name, Suspicion> suspicions_;
     std::map<Asking, Errand> errands_;
-    std::map<Name, Seconds> tables_;      // when the whole table was last sent there
-    std::set<std::pair<int, Name>> hot_;  // how often it was told on, name
-    std::map<Name, int> told_on_;         // the same by name
-    std::vector<Name> order_;             // of pings
+    std::map<Name, Seconds> tables_;  // when the whole table was last sent there
+    using Hot =
+        std::tuple<int, std::uint64_t, Name>;  // how often it was told on, the latest news first, of whom
+    std::set<Hot> hot_;
+    std::map<Name, Hot> told_on_;  // the same by name
+    std::uint64_t news_ = ~0ULL;   // counts down
+    std::vector<Name> order_;      // of pings
     std::size_t at_ = 0;
     Name window_;  // the last entry told in turn
     std::optional<Probe> probe_;
--- a/tools/virtual/fleet.cpp
+++ b/tools/virtual/fleet.cpp
@@ -11,9 +11,9 @@
 using audit::Subject;
 
 constexpr Mark kNews{1, 11};
-constexpr double kWordBytes = 130;    // a frame and a member's own word on itself, as measured on the codec
-constexpr double kEntryBytes = 62;    // an entry in it
-constexpr Seconds kTickEvery = 0.25;  // s: currency is looked at
+constexpr double kWordBytes = 130;   // a frame and a member's own word on itself, as measured on the codec
+constexpr double kEntryBytes = 62;   // an entry in it
+constexpr Seconds kTickEvery = 0.5;  // s: currency is looked at
 
 Mark list_at(std::uint64_t revision) { return {revision, revision * 100 + 7}; }
 
