make try ends with a fleet and its audit; a rig scenario for reload of the operator file

Need: a newcomer is to see the fleet without writing files, and a file is to be taken up whole or not at all while it runs.

--- a/Makefile
+++ b/Makefile
@@ -14,10 +14,12 @@
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DTIDELINE_TESTS=OFF -DTIDELINE_TOOLS=ON
 	cmake --build build -j4
 
-# Sidecars between the project's own stand-ins, through a rollout: a good build, then a bad one.
+# Sidecars between the project's own stand-ins, through a rollout: a good build, then a bad one; then a fleet
+# of four, with an audit of all.
 try: build
 	build/tideline_try --program build/tideline
 	build/tideline_try --program build/tideline --bad
+	build/tideline_try --program build/tideline --sidecars 4 --fleet
 
 test:
 	cmake -B build-tests -DCMAKE_BUILD_TYPE=Debug -DTIDELINE_STRICT=ON
--- a/src/cli/ask.cpp
+++ b/src/cli/ask.cpp
@@ -19,6 +19,11 @@
     constexpr const char* kWords[] = {"trial", "reverting", "released", "withdrawn"};
     return phase < 4 ? kWords[phase] : "?";
 }
+// The order of news as it was put together (rank_of in fleet/names.hpp): build, phase, stage.
+std::string news_of(std::uint64_t rank) {
+    constexpr const char* kPhases[] = {"trial", "released", "reverting", "withdrawn"};
+    return fmt::format("build {} {} stage {}", rank >> 20, kPhases[rank >> 16 & 3], rank & 0xffff);
+}
 const char* stand_word(std::uint32_t stand) {
     constexpr const char* kWords[] = {"open", "first stage", "no trial"};
     return stand < 3 ? kWords[stand] : "?";
@@ -73,8 +78,8 @@
     void print(int status, const std::vector<std::string>& stragglers,
                const std::vector<std::string>& untold) const {
         const wire::Fleet& head = question_.head;
-        fmt::print("asked {} at {}; floor: list {}, news {}\n", head.asked(), clock_of(head.now()),
-                   head.floor_list(), head.floor_news());
+        fmt::print("asked {} at {}; floor: list {}, {}\n", head.asked(), clock_of(head.now()),
+                   head.floor_list(), news_of(head.floor_news()));
         fmt::print("{:12} {:10} {:>14} {:11} {:44} {:>8} {:>8} {:>8}  {}\n", "member", "place", "life",
                    "state", "acts on", "for", "behind", "heard", "");
         for (const wire::Row& row : question_.rows) {
--- a/tools/rig/main.cpp
+++ b/tools/rig/main.cpp
@@ -252,12 +252,37 @@
                 "a word in another's name is taken");
 }
 
+// An operator file is taken up whole or not at all while it runs.
+void reloaded(Play& play) {
+    const std::string path = fmt::format("{}/n3.cfg", play.world.folder);
+    std::ifstream file(path);
+    const std::string good{std::istreambuf_iterator<char>(file), {}};
+    const auto put = [&](const std::string& text) {
+        std::ofstream(path) << text;
+        play.world.members[3].process->signal(SIGHUP);
+    };
+    const auto logged = [&](const char* text) {
+        return play.world.run_until(5, [&] { return play.world.log_of(3).find(text) != std::string::npos; });
+    };
+    std::string wrong = good;
+    wrong.replace(wrong.find("grace = "), 8, "grace = -");
+    put(wrong);
+    play.expect(logged("n3.cfg:3: fleet.audit.grace: -1 s is not from 0.2 s to 3600 s; what stands stays"),
+                "a wrong operator file is not told with its line");
+    put(good.substr(0, good.size() / 2));
+    play.world.run(1);
+    play.expect(play.world.log_of(3).find("operator file taken up") == std::string::npos,
+                "half a file is taken up");
+    put(good);
+    play.expect(logged("new operator file taken up"), "a good operator file is not taken up");
+}
+
 const std::vector<std::pair<std::string, void (*)(Play&)>> kScenarios = {
     {"brought-up", brought_up},     {"hears-nothing", hears_nothing},
     {"shut-out", shut_out},         {"mad", mad},
     {"partition", partition},       {"restarts", restarts},
     {"stands-still", stands_still}, {"slow", slow},
-    {"strangers", strangers}};
+    {"strangers", strangers},       {"reloaded", reloaded}};
 
 void tell(const std::string& name, const Result& result, Seconds took, const std::string& folder) {
     fmt::print("{:24} {:7} {:5.1f} s", name, result.faults.empty() ? "holds" : "FAULTS", took);
--- a/tools/try/main.cpp
+++ b/tools/try/main.cpp
@@ -24,7 +24,7 @@
 
 constexpr int kOld = 41, kNew = 42;  // builds
 constexpr int kPodsEach = 4;         // pods of each build
-constexpr int kPodPort = 5432, kListPort = 8500, kPlatformPort = 6400, kClientPort = 5433;
+constexpr int kPodPort = 5432, kListPort = 8500, kPlatformPort = 6400, kClientPort = 5433, kFleetPort = 7801;
 constexpr Seconds kBefore = 2;        // s: before the new build is offered
 constexpr Seconds kReadyWithin = 10;  // s: for sidecars to start
 
@@ -33,7 +33,7 @@
     int sidecars = 2;
     double rate = 60;  // invocations a second and sidecar
     Seconds length = 9;
-    bool bad = false;
+    bool bad = false, fleet = false;
 };
 
 double quantile_of(std::vector<double> values, double part) {
@@ -81,8 +81,16 @@
         const std::string path = fmt::format("{}/n{}.json", folder, i);
         std::ofstream(path) << told.dump(1);
         sidecars.push_back(std::make_unique<Process>());
-        sidecars.back()->start({wish.program, "sidecar", "--config", path},
-                               fmt::format("{}/n{}.log", folder, i));
+        std::vector<std::string> command{wish.program, "sidecar", "--config", path};
+        if (wish.fleet) {
+            const std::string treaty = fmt::format("{}/n{}.cfg", folder, i);
+            std::ofstream(treaty) << fmt::format(
+                "fleet = {{ member = \"n{0}\"; place = \"p{0}\"; listen = \"{1}\"; seeds = [\"{2}\"];\n"
+                "  membership = {{ period = 0.2; answer_wait = 0.08; }}; }};\n",
+                i, text_of(at_port(host, kFleetPort)), text_of(at_port(256, kFleetPort)));
+            command.insert(command.end(), {"--fleet", treaty});
+        }
+        sidecars.back()->start(command, fmt::format("{}/n{}.log", folder, i));
         clients.push_back(std::make_unique<ClientStand>(
             loop, at_port(host, kClientPort), fmt::format("c{}", i), static_cast<std::uint32_t>(7 + i)));
     }
@@ -130,6 +138,13 @@
         unanswered += static_cast<std::size_t>(count[Came::nothing] + count[Came::wrong]);
         succeeded += static_cast<std::size_t>(count[Came::succeeded]);
     }
+    if (wish.fleet) {
+        const std::string audit =
+            fmt::format("{} audit --at {}", wish.program, text_of(at_port(256, kFleetPort)));
+        fmt::print("\n$ {}\n", audit);
+        std::fflush(stdout);
+        if (std::system(audit.c_str()) != 0) fmt::print("the audit says that not all is well\n");
+    }
     const auto state = platform.state();
     fmt::print("\nbuild {}: {}, stage {}, cap {}\n", state["version"].get<int>(),
                state["status"].get<std::string>(), state["step"].get<int>(),
@@ -160,6 +175,7 @@
         ->check(CLI::Range(1, 500))
         ->capture_default_str();
     app.add_option("--length", wish.length, "seconds")->check(CLI::Range(6, 120))->capture_default_str();
+    app.add_flag("--fleet", wish.fleet, "they know of each other; ends with an audit of all");
     app.add_flag("--bad", wish.bad, "the new build fails 40% of its dispatches");
     CLI11_PARSE(app, argc, argv);
     try {
