No more than sixteen audits at once at one member

Danger: whoever asks for the audit again and again would have each member ask all others each time. Beyond sixteen the answer says at once that it is busy.

--- a/src/cli/ask.cpp
+++ b/src/cli/ask.cpp
@@ -173,7 +173,8 @@
     while (!question.over) loop.pass();
     question.close();
     if (question.rows.empty()) {
-        fmt::print(stderr, "tideline: {} does not answer: {}\n", wish.at, question.why);
+        fmt::print(stderr, "tideline: {} does not answer: {}\n", wish.at,
+                   question.whole ? "it is busy with others' audits" : question.why);
         return 2;
     }
     std::sort(question.rows.begin(), question.rows.end(),
--- a/src/fleet/fellow.cpp
+++ b/src/fleet/fellow.cpp
@@ -14,10 +14,11 @@
 using audit::Mark;
 using audit::Subject;
 
-constexpr std::size_t kAskedAtOnce = 32;  // members: an audit of a large fleet is no burst of connections
-constexpr Seconds kRecordWithin = 2;      // s: for one member's record; slower ones are named as not heard
-constexpr Seconds kReviewPart = 0.1;      // of the grace: how often currency is looked at
-constexpr Seconds kReviewMost = 1;        // s
+constexpr std::size_t kAskedAtOnce = 32;    // members: an audit of a large fleet is no burst of connections
+constexpr Seconds kRecordWithin = 2;        // s: for one member's record; slower ones are named as not heard
+constexpr std::size_t kInquiriesMost = 16;  // audits at once: whoever asks again and again costs no more
+constexpr Seconds kReviewPart = 0.1;        // of the grace: how often currency is looked at
+constexpr Seconds kReviewMost = 1;          // s
 constexpr std::uint32_t kSubjectMost = 1;
 
 Subject subject_of(std::uint32_t value) { return value == 0 ? Subject::list : Subject::news; }
@@ -504,6 +505,12 @@
     parley_.reply(inquiry.link, said);
 }
 void Fellow::asked(LinkNo link, const wire::AskFleet& ask) {
+    if (inquiries_.size() >= kInquiriesMost) {
+        wire::Word busy;
+        *busy.mutable_fleet() = head_of_answer();
+        busy.mutable_fleet()->set_last(true);
+        return parley_.reply(link, busy);
+    }
     const std::uint64_t no = ++inquired_;
     Inquiry inquiry{link, {}, {}, net::clock_now() + kRecordWithin};
     wire::Row own = row_of(roll_.self());
