What nothing reads is taken out: counters, records and a member of the fleet's parts

Cause: a second reading of the change found state that was written and never read (a reply address, times heard in virtual time, faults touched, bytes of the relay, a build of each ask). Behaviour is as it was.

--- a/src/fleet/fellow.hpp
+++ b/src/fleet/fellow.hpp
@@ -112,7 +112,6 @@
     std::map<Name, Seconds> heard_;  // when each last spoke for itself
     std::map<std::uint64_t, Inquiry> inquiries_;
     std::uint64_t inquired_ = 0;
-    std::string reply_to_;
     Parley parley_;
     audit::Ledger ledger_;
     Roll roll_;
--- a/tools/rig/relay.cpp
+++ b/tools/rig/relay.cpp
@@ -76,7 +76,6 @@
     if (is_cut(way)) return;
     End& to = forth ? *splice.far : *splice.near;
     while (!held.empty() && held.front().due <= net::clock_now()) {
-        bytes_ += held.front().bytes.size();
         to.put(held.front().bytes);
         held.pop_front();
     }
--- a/tools/rig/relay.hpp
+++ b/tools/rig/relay.hpp
@@ -26,7 +26,6 @@
     void heal();  // all ways, and what was held is delivered
     void heal(Way way);
     bool is_cut(Way way) const { return cut_.contains(way); }
-    std::uint64_t bytes() const { return bytes_; }
 
   private:
     class End;
@@ -40,7 +39,6 @@
     std::map<Splice*, std::unique_ptr<Splice>> splices_;
     std::set<Way> cut_;
     std::map<Way, Seconds> delay_;
-    std::uint64_t bytes_ = 0;
 };
 
 }  // namespace tideline::rig
--- a/tools/rig/world.cpp
+++ b/tools/rig/world.cpp
@@ -258,11 +258,6 @@
     }
     watch_ = loop.due.at(net::clock_now() + kWatchEvery, [this] { watch(); });
 }
-const Seen* World::last(int by) const {
-    for (auto it = seen.rbegin(); it != seen.rend(); ++it)
-        if (it->by == by && it->whole) return &*it;
-    return nullptr;
-}
 bool World::all_current(const Seen& one) const {
     int current = 0;
     for (const auto& [member, row] : one.rows)
--- a/tools/rig/world.hpp
+++ b/tools/rig/world.hpp
@@ -63,7 +63,6 @@
     // An audit of one member after the other, a quarter of a second apart.
     void watch();
     bool all_current(const Seen& seen) const;
-    const Seen* last(int by) const;  // the last whole audit by that member
     const Seen* newest() const { return seen.empty() ? nullptr : &seen.back(); }
     std::string log_of(int member) const;
     long memory_of(int member) const;  // KB resident
--- a/tools/stand/client.cpp
+++ b/tools/stand/client.cpp
@@ -79,7 +79,7 @@
     Connection* link = free == links_.end() ? nullptr : free->get();
     if (!link) link = links_.emplace_back(std::make_unique<Connection>(*this)).get();
     const std::string id = customer_ + "x" + std::to_string(asked.size());
-    asked.push_back({net::clock_now(), 0, limit, Came::nothing, 0, 0});
+    asked.push_back({net::clock_now(), 0, limit, Came::nothing, 0});
     link->ask(asked.size() - 1, id,
               "SELECT v FROM records WHERE k = '7f' /* id=" + id +
                   ",c=" + (chance_() % 8 ? "read" : "charge") + ",t=" + customer_ +
--- a/tools/stand/client.hpp
+++ b/tools/stand/client.hpp
@@ -16,7 +16,6 @@
     Seconds at = 0, took = 0, limit = 0;
     Came came = Came::nothing;
     int answers = 0;
-    int build = 0;
 };
 
 class ClientStand {
--- a/tools/virtual/fleet.cpp
+++ b/tools/virtual/fleet.cpp
@@ -83,7 +83,6 @@
         return said;
     }
     void heard(const Word& said) {
-        heard_at[said.from.name] = all.now_;
         currency.heard(all.now_, said.from.name, said.from.life, said.list, kNews);
     }
     template <class Call>
@@ -158,7 +157,6 @@
     }
     void take_up(Subject subject, const Mark& mark) override {
         if (subject != Subject::list) return;
-        taken_up = mark.rank;
         all.hand(number, all.now_, [rank = mark.rank](Node& node) { node.acts(rank); });
     }
     void refuse(const Name& name) override {
@@ -191,8 +189,7 @@
     Fleet& all;
     const int number;
     const std::uint64_t life;
-    std::uint64_t revision = 0, taken_up = 0;
-    std::map<Name, Seconds> heard_at;
+    std::uint64_t revision = 0;
     Roll roll;
     audit::Currency currency;
     Seconds next_tick = -1, stopped_since = -1;
--- a/tools/virtual/main.cpp
+++ b/tools/virtual/main.cpp
@@ -45,7 +45,6 @@
     terms.acquainted = draw(0, 1) < 0.5;
     Fleet fleet(terms);
     std::vector<std::uint64_t> floors(static_cast<std::size_t>(members), 0), acted = floors, lives = floors;
-    std::vector<bool> touched(static_cast<std::size_t>(members), false);  // a fault that may make it lag
     std::string fault;
     const bool madness = draw(0, 1) < 0.3;
     const int mad = madness ? member() : -1;
@@ -123,7 +122,6 @@
                 fleet.mute(one, true);
                 later.emplace_back(until, [&fleet, one] { fleet.mute(one, false); });
         }
-        touched[static_cast<std::size_t>(one)] = true;
     }
     for (auto& [when, call] : later)
         if (call) call();
