Members asked in an audit are a set: the number under which they are asked is the audit's

Cause: each name held a copy of the inquiry's own number, which nothing read. Behaviour is as it was.

--- a/src/fleet/fellow.cpp
+++ b/src/fleet/fellow.cpp
@@ -529,7 +529,7 @@
     while (!inquiry.waiting.empty() && inquiry.asked.size() < kAskedAtOnce) {
         const Name name = inquiry.waiting.front();
         inquiry.waiting.pop_front();
-        inquiry.asked[name] = no;
+        inquiry.asked.insert(name);
         inquiry.until = net::clock_now() + kRecordWithin;
         wire::Word said = word();
         said.mutable_ask_record()->set_no(no);
@@ -556,7 +556,7 @@
     for (auto it = inquiries_.begin(); it != inquiries_.end();) {
         Inquiry& inquiry = it->second;
         if (net::clock_now() > inquiry.until) {
-            for (const auto& [name, no] : inquiry.asked)
+            for (const Name& name : inquiry.asked)
                 if (const auto entry = roll_.find(name)) {
                     wire::Row row = row_of(*entry);
                     row.set_state("unreachable");
--- a/src/fleet/fellow.hpp
+++ b/src/fleet/fellow.hpp
@@ -51,8 +51,8 @@
     };
     struct Inquiry {  // an audit that somebody asked for
         LinkNo link;
-        std::deque<Name> waiting;             // not yet asked
-        std::map<Name, std::uint64_t> asked;  // by the number they are asked under
+        std::deque<Name> waiting;  // not yet asked
+        std::set<Name> asked;      // and not yet answered
         Seconds until = 0;
     };
     // RollHost
