--- a/src/cli/check.cpp
+++ b/src/cli/check.cpp
@@ -4,8 +4,10 @@
 
 #include <fstream>
 #include <iterator>
+#include <regex>
 
 #include "fleet/treaty.hpp"
+#include "planner/binder.hpp"
 
 namespace tideline::cli {
 
@@ -16,10 +18,16 @@
         return 2;
     }
     const std::string text{std::istreambuf_iterator<char>(file), {}};
+    // A planner's file begins with its group; whatever else is there is taken for the fleet's.
+    const bool planner = std::regex_search(text, std::regex("(^|\\n)\\s*planner\\s*[=:]"));
     fleet::Treaty treaty;
-    const auto faults = fleet::read_treaty(text, treaty);
+    planner::Binder binder;
+    const auto faults = planner ? planner::read_binder(text, binder) : fleet::read_treaty(text, treaty);
     for (const auto& fault : faults) fmt::print("{}\n", fleet::text_of(path, fault));
-    if (faults.empty())
+    if (faults.empty() && planner)
+        fmt::print("{}: holds; planner {} at {}, {} planners\n", path, binder.name.value, binder.listen,
+                   binder.planners.size());
+    else if (faults.empty())
         fmt::print("{}: holds; member {} at {}, {} seeds\n", path, treaty.name.value, treaty.listen,
                    treaty.seeds.size());
     return faults.empty() ? 0 : 1;
--- /dev/null
+++ b/src/cli/lease.hpp
@@ -0,0 +1,19 @@
+// `tideline lease` and `tideline planners`: what operators ask of the planners.
+#pragma once
+
+#include <string>
+
+namespace tideline::cli {
+
+struct LeaseWish {
+    enum What { list, take_away, planners, admit, remove } what = list;
+    std::string at;    // host:port of any planner
+    std::string name;  // of the lease, or of the planner
+    bool json = false;
+    double within = 5;  // s
+};
+
+// The exit status: 0 done, 1 refused, 2 could not be asked, or is not known to be so.
+int lease(const LeaseWish& wish);
+
+}  // namespace tideline::cli
--- /dev/null
+++ b/src/cli/plan.cpp
@@ -0,0 +1,31 @@
+#include "cli/plan.hpp"
+
+#include <random>
+
+#include "cli/signals.hpp"
+#include "planner/planner.hpp"
+
+namespace tideline::cli {
+
+int plan(const PlanWish& wish) {
+    const planner::Binder binder = planner::binder_of(wish.file);
+    net::Log log(wish.log);
+    google::protobuf::SetLogHandler(nullptr);
+    net::Loop loop;
+    Signals signals(loop);
+    // Two disks must never draw the same number: this one is not told from outside.
+    std::random_device device;
+    const std::uint64_t seed = (static_cast<std::uint64_t>(device()) << 32) | device();
+    planner::Planner its(loop, log, binder, wish.founds, seed);
+    its.begin();
+    while (!signals.asked_to_end && its.broken().empty()) {
+        loop.pass();
+        log.flush();
+    }
+    if (!its.broken().empty()) log.alarm("planner: ends, it can't promise any more: {}", its.broken());
+    if (signals.asked_to_end) log.line("planner: asked to end");
+    log.flush();
+    return its.broken().empty() ? 0 : 3;
+}
+
+}  // namespace tideline::cli
--- /dev/null
+++ b/src/cli/plan.hpp
@@ -0,0 +1,20 @@
+// `tideline planner`: one planner process, from its operator file to its end.
+#pragma once
+
+#include <string>
+
+#include "net/log.hpp"
+
+namespace tideline::cli {
+
+struct PlanWish {
+    std::string file;     // the operator file
+    bool founds = false;  // the first planner of a new cluster
+    net::Log::Form log = net::Log::Form::lines;
+};
+
+// The exit status: 0 asked to end, 3 its disk failed or it may not go on. Throws std::runtime_error with one
+// plain line where it can't start.
+int plan(const PlanWish& wish);
+
+}  // namespace tideline::cli
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,11 +1,8 @@
 #include "cli/serve.hpp"
 
-#include <sys/signalfd.h>
-#include <unistd.h>
-
-#include <csignal>
 #include <utility>
 
+#include "cli/signals.hpp"
 #include "fleet/fellow.hpp"
 #include "net/sidecar.hpp"
 
@@ -14,34 +11,6 @@
 
 using namespace tideline::net;
 
-class Signals : public Watcher {
-  public:
-    explicit Signals(Loop& loop) : loop_(loop) {
-        sigset_t set;
-        sigemptyset(&set);
-        sigaddset(&set, SIGTERM);
-        sigaddset(&set, SIGINT);
-        sigaddset(&set, SIGHUP);
-        sigprocmask(SIG_BLOCK, &set, nullptr);
-        std::signal(SIGPIPE, SIG_IGN);
-        fd_ = ::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-        if (fd_ >= 0) loop_.watch(fd_, this, POLLIN);
-    }
-    ~Signals() override {
-        if (fd_ >= 0) loop_.forget(fd_), ::close(fd_);
-    }
-    void ready(short) override {
-        signalfd_siginfo info;
-        while (::read(fd_, &info, sizeof info) > 0)
-            (info.ssi_signo == SIGHUP ? asked_to_read : asked_to_end) = true;
-    }
-    bool asked_to_end = false, asked_to_read = false;
-
-  private:
-    Loop& loop_;
-    int fd_ = -1;
-};
-
 // Danger: at SIGHUP the file may be missing, half written or wrong. Then what stands stays, and it is read
 // again after a while, without another line in the log.
 class Reading {
--- /dev/null
+++ b/src/consensus/words.hpp
@@ -0,0 +1,73 @@
+// Words of the planners' common log: who they are, what a record is, what must lie on a disk.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/names.hpp"
+
+namespace tideline::consensus {
+
+using fleet::Disk;
+using fleet::Name;
+
+using Peer = Id<struct PeerTag, std::uint64_t>;        // a planner on one disk; 0: none
+using Cluster = Id<struct ClusterTag, std::uint64_t>;  // drawn when it was founded
+using Reign = Id<struct ReignTag, std::uint64_t>;      // Raft's term, in which there is at most one leader
+using LogIndex = Id<struct LogIndexTag, std::uint64_t>;
+using Round = Id<struct RoundTag, std::uint64_t>;  // of a leader's messages, within its reign
+using StoreNo = Id<struct StoreTag, std::uint64_t>;
+
+// Danger: a planner that lost its disk has forgotten whom it voted for and what it stored. Under its old
+// identity its second vote would count. So the identity hangs on the disk: an empty one is another peer.
+Peer peer_of(const Name& name, const Disk& disk);
+
+struct Seat {
+    Name name;
+    std::string address;  // where other planners and members dial it
+    bool votes = false;   // else it only learns
+    bool operator==(const Seat&) const = default;
+};
+using Council = std::map<Peer, Seat>;
+
+enum class RecordKind { blank, command, council };
+struct Record {
+    Reign reign;
+    RecordKind kind = RecordKind::blank;
+    std::string body;  // of a command; bytes that the log does not look into
+    Council council;   // of a change of who the planners are
+    bool operator==(const Record&) const = default;
+};
+
+// What must be on the disk before anything is said that follows from it.
+struct Promise {
+    Reign reign;
+    Peer voted;  // in that reign; 0: for nobody
+    bool operator==(const Promise&) const = default;
+};
+// All that the records up to `last` came to.
+struct Snapshot {
+    LogIndex last;
+    Reign reign;  // of the record at last
+    Council council;
+    std::string state;
+    bool operator==(const Snapshot&) const = default;
+};
+struct Storing {
+    std::optional<Promise> promise;
+    std::optional<Snapshot> snapshot;  // records up to its last go, before anything else is done
+    bool clears = false;               // with a snapshot: all other records go too
+    LogIndex cut;                      // 0, or: records from here on go
+    LogIndex first;                    // of the records
+    std::vector<Record> records;
+};
+// What a disk holds when a planner starts.
+struct Kept {
+    Promise promise;
+    Snapshot snapshot;            // last 0: none
+    std::vector<Record> records;  // from snapshot.last + 1 on
+};
+
+}  // namespace tideline::consensus
--- /dev/null
+++ b/src/lease/register.hpp
@@ -0,0 +1,72 @@
+// The register of leases that all planners keep alike: what the records of their log come to. No clock; the
+// times in it are the leader's, for people to read. The same records give the same register.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "lease/words.hpp"
+
+namespace tideline::lease {
+
+// Bounds of the register, since all of it is in every snapshot.
+constexpr std::size_t kLeasesMost = 256;    // tasks for the fleet are few
+constexpr std::size_t kWaitersMost = 4096;  // a lease: a waiter for each member of a large fleet
+constexpr std::size_t kNameMost = 100;      // bytes
+constexpr std::size_t kPastMost = 32;       // holdings kept a lease, for people to read
+constexpr std::size_t kRaisedMost = 4096;   // alarms that stand
+
+struct Holding {
+    Fence fence;
+    Member holder;
+    double from = 0, to = 0;  // Unix time
+    End end = End::held;
+    bool operator==(const Holding&) const = default;
+};
+struct Lease {
+    Holding now;             // fence 0: nobody holds it
+    bool withdrawn = false;  // not renewed any more: an operator takes it away
+    std::deque<Member> waiting;
+    std::deque<Holding> past;
+    bool operator==(const Lease&) const = default;
+};
+// An alarm that the holder of a lease has raised for the whole fleet.
+struct Raised {
+    Fence fence;
+    double since = 0;  // Unix time
+    std::string text;
+    bool operator==(const Raised&) const = default;
+};
+
+class Register {
+  public:
+    // What the records say; `at` is the record's own place, and so the fence of a grant that follows from it.
+    void take(Fence at, double unix_time, const LeaseName& lease, const Member& member);
+    // Given back by its holder, or once the holder can no longer act. `absent`: waiters who were not heard of
+    // late and are passed over.
+    void expire(Fence at, double unix_time, const LeaseName& lease, Fence fence, End end,
+                const std::vector<Member>& absent);
+    void take_away(const LeaseName& lease, Fence fence);
+    void stop_waiting(const LeaseName& lease, const Member& member);
+    // By the holder of the lease under that fence. False where an older fence asks, or it stood (or did not).
+    bool raise(double unix_time, const LeaseName& lease, Fence fence, const std::string& key,
+               const std::string& text);
+    bool clear(const LeaseName& lease, Fence fence, const std::string& key);
+
+    const Lease* find(const LeaseName& lease) const;
+    const std::map<LeaseName, Lease>& leases() const { return leases_; }
+    using RaisedBy = std::map<LeaseName, std::map<std::string, Raised>>;
+    const RaisedBy& raised() const { return raised_; }
+    void restore(std::map<LeaseName, Lease> leases, RaisedBy raised);
+    std::string state() const;
+
+  private:
+    void end(Fence at, double unix_time, const LeaseName& name, Lease& lease, End how,
+             const std::vector<Member>& absent);
+    std::map<LeaseName, Lease> leases_;
+    RaisedBy raised_;
+};
+
+}  // namespace tideline::lease
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,8 @@
 
 #include "cli/ask.hpp"
 #include "cli/check.hpp"
+#include "cli/lease.hpp"
+#include "cli/plan.hpp"
 #include "cli/serve.hpp"
 
 namespace {
@@ -26,6 +28,17 @@
     app.add_option("--within", wish.within, "seconds to wait for the answer")->capture_default_str();
 }
 
+// What operators ask of planners; each command is told which one it is.
+void add_lease(CLI::App& app, cli::LeaseWish& wish, cli::LeaseWish::What what, const char* name) {
+    app.add_option("--at", wish.at, "host:port of any planner")->required();
+    app.add_option("--within", wish.within, "seconds to wait for the answer")->capture_default_str();
+    if (name)
+        app.add_option("name", wish.name, name)->required();
+    else
+        app.add_flag("--json", wish.json, "one JSON object");
+    app.callback([&wish, what] { wish.what = what; });
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -46,6 +59,32 @@
     std::string path;
     CLI::App* check = app.add_subcommand("check", "says all that is wrong with an operator file");
     check->add_option("file", path, "the operator file")->required();
+    cli::PlanWish plan;
+    CLI::App* planner =
+        app.add_subcommand("planner", "one planner: keeps the register of leases with others");
+    planner->add_option("--file", plan.file, "its operator file")->required();
+    planner->add_flag("--found", plan.founds, "the first of a new cluster; its folder must be empty");
+    planner->add_flag(
+        "--log-json", [&plan](auto) { plan.log = net::Log::Form::json; },
+        "the log as one JSON object a line");
+    cli::LeaseWish lease;
+    CLI::App* leases = app.add_subcommand("lease", "leases of the fleet's tasks: who holds what");
+    leases->require_subcommand(1);
+    using Ask = cli::LeaseWish;
+    add_lease(*leases->add_subcommand("list", "holders, fences, who waits, who held it before"), lease,
+              Ask::list, nullptr);
+    add_lease(
+        *leases->add_subcommand("take-away", "renew it no more; another gets it after the holder's time"),
+        lease, Ask::take_away, "the lease");
+    CLI::App* planners = app.add_subcommand("planners", "who the planners are");
+    planners->require_subcommand(1);
+    add_lease(*planners->add_subcommand("list", "seats, leader, who is silent, who knocks"), lease,
+              Ask::planners, nullptr);
+    add_lease(
+        *planners->add_subcommand("admit", "give one that knocks a seat, its former disk's if it had one"),
+        lease, Ask::admit, "the planner");
+    add_lease(*planners->add_subcommand("remove", "take a planner's seat for good"), lease, Ask::remove,
+              "the planner");
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
@@ -55,6 +94,8 @@
         ask.audit = audit->parsed();
         if (audit->parsed() || members->parsed()) return cli::ask(ask);
         if (check->parsed()) return cli::check(path);
+        if (planner->parsed()) return cli::plan(plan);
+        if (leases->parsed() || planners->parsed()) return cli::lease(lease);
         if (serve.told.empty()) {
             std::fprintf(stderr, "tideline: neither --config nor PROXY_CONFIG names a file\n");
             return 2;
--- /dev/null
+++ b/src/planner/vault.hpp
@@ -0,0 +1,58 @@
+// A planner's disk: what it promised, its log, its snapshot, in one SQLite file in its folder. Each row has a
+// checksum of its own, since SQLite tells a torn write but not an altered byte.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "consensus/words.hpp"
+
+struct sqlite3;
+
+namespace tideline::planner {
+
+class Vault {
+  public:
+    // How each transaction is made to last. Sealed by the journal: two or three fsyncs, one file at rest.
+    // Sealed by the write-ahead log: one fsync, but a log that was cut looks like one that was never longer.
+    enum class Seal { journal, ahead };
+
+    // Opens the folder, or makes it with a fresh disk. Throws std::runtime_error with one plain line where it
+    // can't be used, is damaged, or belongs to another planner.
+    Vault(const std::string& folder, const consensus::Name& name, std::uint64_t fresh_disk,
+          Seal seal = Seal::journal);
+    ~Vault();
+    Vault(const Vault&) = delete;
+    Vault& operator=(const Vault&) = delete;
+
+    consensus::Disk disk() const { return disk_; }
+    consensus::Cluster cluster() const { return cluster_; }
+    const consensus::Kept& kept() const { return kept_; }
+    // The cluster this disk belongs to from here on.
+    void belongs(consensus::Cluster cluster);
+    // All of it in one transaction, on the disk when this returns. Throws std::runtime_error where that
+    // failed: then nothing may be said that follows from it, and the planner ends.
+    void store(const std::vector<consensus::Storing>& all);
+
+  private:
+    class Statement;
+    void run(const char* sql);
+    void read(const consensus::Name& name);
+    void put(const char* key, const std::string& bytes);
+    bool get(const char* key, std::string& bytes);
+    void put_record(std::uint64_t at, const consensus::Record& record);
+    [[noreturn]] void failed(const std::string& doing) const;
+    [[noreturn]] void damaged(const std::string& what) const;
+
+    struct Close {
+        void operator()(::sqlite3* db) const;
+    };
+    std::string path_;
+    std::unique_ptr<::sqlite3, Close> db_;
+    consensus::Disk disk_;
+    consensus::Cluster cluster_;
+    consensus::Kept kept_;
+};
+
+}  // namespace tideline::planner
