--- a/src/consensus/raft.cpp
+++ b/src/consensus/raft.cpp
@@ -14,8 +14,10 @@
     return Peer{XXH3_64bits_withSeed(name.value.data(), name.value.size(), disk.value) | 1};
 }
 
-Raft::Raft(RaftHost& host, const RaftTerms& terms, Peer self, Kept kept, std::uint64_t seed, Seconds now)
-    : host_(&host),
+Raft::Raft(RaftPost& post, RaftState& state, const RaftTerms& terms, Peer self, Kept kept, std::uint64_t seed,
+           Seconds now)
+    : host_(&post),
+      made_(&state),
       terms_(terms),
       self_(self),
       chance_(static_cast<std::uint32_t>(seed ^ self.value)),
@@ -28,10 +30,12 @@
         if (records_[i].kind == RecordKind::council)
             councils_[{snapshot_.last.value + 1 + i}] = records_[i].council;
     durable_ = last();
-    if (snapshot_.last.value > 0) host_->restore(snapshot_);
+    if (snapshot_.last.value > 0) made_->restore(snapshot_);
     rest(now);
 }
-Raft::Raft(const Raft& other, RaftHost& host) : Raft(other) { host_ = &host; }
+Raft::Raft(const Raft& other, RaftPost& post, RaftState& state) : Raft(other) {
+    host_ = &post, made_ = &state;
+}
 
 const Council& Raft::council() const {
     return councils_.empty() ? snapshot_.council : councils_.rbegin()->second;
@@ -86,7 +90,10 @@
     for (const auto& [peer, seat] : council())
         near += seat.votes &&
                 (peer == self_ || now - std::max(progress_[peer].heard, led_since_) < terms_.election_most);
-    if (near < majority()) return resign(now, "no majority answers");
+    if (near < majority()) {
+        rest(now);
+        return resign("no majority answers");
+    }
     beat_at_ = now + terms_.heartbeat;
     broadcast();
     flush();
@@ -123,12 +130,11 @@
     progress_.clear();
     rest(now);
 }
-void Raft::resign(Seconds now, const char* why) {
+void Raft::resign(const char* why) {
     host_->note(fmt::format("{}: this planner leads no more", why));
     role_ = Role::follower;
     leader_ = {};
     progress_.clear();
-    rest(now);
 }
 
 // --- Elections
@@ -138,8 +144,11 @@
     // Danger: one that was away, or was removed, would unseat a leader that all others hear.
     const bool has_leader = terms_.rehearse && (leads() || now < heard_leader_ + terms_.election_least);
     const bool as_new = std::pair(last_reign, last_index) >= std::pair(reign_at(last()), last());
-    if (rehearsal)
-        return host_->answer_vote(from, reign, !has_leader && as_new && reign > promise_.reign, true);
+    // Danger: one whose reign is lower, but whose log is the only good one, would rehearse in vain for ever.
+    // It is told of the higher reign.
+    if (rehearsal && !has_leader && reign <= promise_.reign)
+        return host_->answer_vote(from, promise_.reign, false, false);
+    if (rehearsal) return host_->answer_vote(from, reign, !has_leader && as_new, true);
     if (has_leader && reign > promise_.reign) return;
     if (reign > promise_.reign) follow(now, reign, {});
     const bool granted =
@@ -186,7 +195,7 @@
     beat_at_ = now + terms_.heartbeat;
     broadcast();
     flush();
-    commit(now);
+    commit();
 }
 
 // --- The log
@@ -232,7 +241,7 @@
             if (seat.votes && peer != self_)
                 host_->ask_vote(peer, promise_.reign, last(), reign_at(last()), false);
     }
-    if (leads()) commit(now);
+    if (leads()) commit();
     flush();
 }
 void Raft::pay() {
@@ -309,7 +318,7 @@
         }
         snapshot_ = snapshot;
         committed_ = applied_ = snapshot.last;
-        host_->restore(snapshot_);
+        made_->restore(snapshot_);
         wants_ = true;
     }
     flush();
@@ -331,7 +340,7 @@
     if (fits) {
         its.reached = std::max(its.reached, its_reached);
         its.next = std::max(its.next, LogIndex{its.reached.value + 1});
-        commit(now);
+        commit();
         if (leads() && its.next <= last()) send(from);
         return;
     }
@@ -368,7 +377,7 @@
     const LogIndex before{its.next.value - 1};
     host_->tell(to, promise_.reign, before, reign_at(before), records, committed_, round_);
 }
-void Raft::commit(Seconds now) {
+void Raft::commit() {
     std::vector<LogIndex> reach;
     for (const auto& [peer, seat] : council())
         if (seat.votes) reach.push_back(reached(peer));
@@ -382,29 +391,29 @@
     apply();
     if (!votes(self_)) {
         broadcast();
-        resign(now, "it was removed");
+        resign("it was removed");
     }
 }
 void Raft::apply() {
     while (applied_ < committed_) {
         ++applied_.value;
-        host_->apply(applied_, *record(applied_));
+        made_->apply(applied_, *record(applied_));
     }
 }
-LogIndex Raft::propose(Seconds now, std::string command) {
+LogIndex Raft::propose(std::string command) {
     if (!leads()) return {};
     append({promise_.reign, RecordKind::command, std::move(command), {}});
     const LogIndex at = last();
     for (const auto& [peer, seat] : council())
         if (peer != self_ && !progress_[peer].out) send(peer);
     flush();
-    commit(now);
+    commit();
     return at;
 }
-LogIndex Raft::change(Seconds now, const Council& wanted) {
+bool Raft::change(const Council& wanted) {
     // Danger: two changes under way at once, or one begun before this reign has committed anything, can make
     // two majorities that do not meet.
-    if (!settled() || (!councils_.empty() && councils_.rbegin()->first > committed_)) return {};
+    if (!settled() || (!councils_.empty() && councils_.rbegin()->first > committed_)) return false;
     std::size_t differ = 0;
     const auto votes_in = [](const Council& all, Peer peer) {
         const auto it = all.find(peer);
@@ -414,13 +423,12 @@
     both.insert(wanted.begin(), wanted.end());
     for (const auto& [peer, seat] : both) differ += votes_in(council(), peer) != votes_in(wanted, peer);
     const bool any = std::any_of(wanted.begin(), wanted.end(), [](auto& each) { return each.second.votes; });
-    if (differ > 1 || !any || wanted == council()) return {};
+    if (differ > 1 || !any || wanted == council()) return false;
     append({promise_.reign, RecordKind::council, {}, wanted});
-    const LogIndex at = last();
     broadcast();
     flush();
-    commit(now);
-    return at;
+    commit();
+    return true;
 }
 Round Raft::confirm() {
     broadcast();
--- a/src/consensus/raft.hpp
+++ b/src/consensus/raft.hpp
@@ -1,7 +1,7 @@
 // The planners' common log: Raft (Ongaro, Ousterhout, 2014; the dissertation for what the paper leaves out)
 // with rehearsed elections, a leader that resigns without a majority, snapshots and changes of one voter at a
 // time. No I/O, no clock: each call carries the time in seconds, which never goes back, and acts through
-// RaftHost before it returns.
+// RaftPost and RaftState before it returns.
 #pragma once
 
 #include <deque>
@@ -14,10 +14,10 @@
 
 namespace tideline::consensus {
 
-// What the log may do. None of it calls back into it.
-class RaftHost {
+// What the log may say and keep, and what it comes to. None of it calls back into the log.
+class RaftPost {
   public:
-    virtual ~RaftHost() = default;
+    virtual ~RaftPost() = default;
     virtual void ask_vote(Peer to, Reign reign, LogIndex last, Reign last_reign, bool rehearsal) = 0;
     virtual void answer_vote(Peer to, Reign reign, bool granted, bool rehearsal) = 0;
     virtual void tell(Peer to, Reign reign, LogIndex before, Reign before_reign,
@@ -26,9 +26,13 @@
     virtual void answer_tell(Peer to, Reign reign, bool fits, LogIndex reached, Round round) = 0;
     // On the disk, in the order of the numbers; stored() is called once it is there.
     virtual void store(StoreNo no, const Storing& what) = 0;
+    virtual void note(const std::string& text) = 0;
+};
+class RaftState {
+  public:
+    virtual ~RaftState() = default;
     virtual void apply(LogIndex at, const Record& record) = 0;  // it will never be undone
     virtual void restore(const Snapshot& snapshot) = 0;         // the state is the snapshot's from here on
-    virtual void note(const std::string& text) = 0;
 };
 
 // What is told at start. Seconds, all above 0.
@@ -42,8 +46,9 @@
 
 class Raft {
   public:
-    Raft(RaftHost& host, const RaftTerms& terms, Peer self, Kept kept, std::uint64_t seed, Seconds now);
-    Raft(const Raft& other, RaftHost& host);  // the same state in another world
+    Raft(RaftPost& post, RaftState& state, const RaftTerms& terms, Peer self, Kept kept, std::uint64_t seed,
+         Seconds now);
+    Raft(const Raft& other, RaftPost& post, RaftState& state);  // the same state in another world
 
     Seconds due() const;  // when tick is to be called next
     void tick(Seconds now);
@@ -60,9 +65,9 @@
     void stored(Seconds now, StoreNo no);  // and all before it
 
     // Only while it leads; 0 where it does not.
-    LogIndex propose(Seconds now, std::string command);
-    // At most one voter more or less than before, and only once the last change is committed; 0: not now.
-    LogIndex change(Seconds now, const Council& council);
+    LogIndex propose(std::string command);
+    // At most one voter more or less than before, and only once the last change is committed. False: not now.
+    bool change(const Council& council);
     // A round that begins now. Once confirmed() reaches it, no other led at the time of this call.
     Round confirm();
     // Records up to `upto`, which were applied, came to `state` and are dropped.
@@ -109,7 +114,7 @@
     void rest(Seconds now);  // draws the time of the next election
     void stand(Seconds now);
     void lead(Seconds now);
-    void resign(Seconds now, const char* why);
+    void resign(const char* why);
     void append(Record record);
     void cut(LogIndex from);
     void want_promise(const Promise& promise);
@@ -118,11 +123,12 @@
     void send(Peer to);
     void owe_ack(Peer to, LogIndex reached, Round round);
     void pay();
-    void commit(Seconds now);
+    void commit();
     void apply();
     std::size_t majority() const;
 
-    RaftHost* host_;
+    RaftPost* host_;
+    RaftState* made_;  // of the log
     RaftTerms terms_;
     Peer self_;
     std::ranlux24_base chance_;
--- a/src/lease/lessee.cpp
+++ b/src/lease/lessee.cpp
@@ -10,11 +10,13 @@
 namespace {
 
 constexpr double kRenewPart = 1.0 / 3;  // of the span: two renewals may be lost before it is
-constexpr int kPauseMost = 8;           // answer waits: the longest pause while no planner helps
+constexpr int kLifeShift = 20;  // bits: lives are milliseconds apart, questions fewer than a million each
+constexpr int kPauseMost = 8;   // answer waits: the longest pause while no planner helps
 
 }  // namespace
 
-Lessee::Lessee(LesseeHost& host, const LesseeTerms& terms) : host_(&host), terms_(terms) {}
+Lessee::Lessee(LesseeHost& host, const LesseeTerms& terms, Life life)
+    : host_(&host), terms_(terms), last_{life.value << kLifeShift} {}
 Lessee::Lessee(const Lessee& other, LesseeHost& host) : Lessee(other) { host_ = &host; }
 
 void Lessee::want(Seconds now, const LeaseName& lease) {
@@ -28,11 +30,14 @@
     // Danger: once it is given back another may act. This member stops first.
     if (fence > Fence{}) lose(lease, it->second, Loss::given_back);
     all_.erase(it);
-    ++last_.value;
     if (fence > Fence{})
-        host_->ask_give_back(last_, lease, fence);
+        give_back(lease, fence);
     else
-        host_->ask_stop_waiting(last_, lease);
+        host_->ask_stop_waiting({++last_.value}, lease);
+}
+void Lessee::give_back(const LeaseName& lease, Fence fence) {
+    given_up_[lease] = std::max(given_up_[lease], fence);
+    host_->ask_give_back({++last_.value}, lease, fence);
 }
 void Lessee::ask(Seconds now, const LeaseName& lease, Want& want) {
     want.asked = {++last_.value};
@@ -66,6 +71,13 @@
     LeaseName lease;
     Want* want = answered(no, lease);
     if (!want) return;
+    // Danger: a word that gives a fence back may still be on its way, and would end what is held under it
+    // again. A fence that was given back once is never used again.
+    if (const auto given = given_up_.find(lease); given != given_up_.end() && fence <= given->second) {
+        if (want->fence > Fence{}) lose(lease, *want, Loss::told);
+        give_back(lease, fence);
+        return pause(now, *want);
+    }
     // Danger: the grantor counts from when it heard the question, so this side counts from before it asked.
     const Seconds until = want->asked_at + span;
     if (now >= until) {
@@ -96,7 +108,7 @@
     if (fence > Fence{}) {
         lose(lease, *want, Loss::told);
         // Where it was taken away, the next need not wait for this member's time to run out.
-        host_->ask_give_back({++last_.value}, lease, fence);
+        give_back(lease, fence);
     }
     pause(now, *want);
 }
--- a/src/lease/lessee.hpp
+++ b/src/lease/lessee.hpp
@@ -34,7 +34,9 @@
 
 class Lessee {
   public:
-    Lessee(LesseeHost& host, const LesseeTerms& terms);
+    // Danger: an answer to the life before would be taken for one to this life's question. Each life numbers
+    // its questions from elsewhere.
+    Lessee(LesseeHost& host, const LesseeTerms& terms, Life life);
     Lessee(const Lessee& other, LesseeHost& host);  // the same in another world
 
     void want(Seconds now, const LeaseName& lease);
@@ -66,12 +68,14 @@
     };
     Want* answered(AskNo no, LeaseName& lease);
     void ask(Seconds now, const LeaseName& lease, Want& want);
+    void give_back(const LeaseName& lease, Fence fence);
     void lose(const LeaseName& lease, Want& want, Loss why);
     void pause(Seconds now, Want& want);
 
     LesseeHost* host_;
     LesseeTerms terms_;
     std::map<LeaseName, Want> all_;
+    std::map<LeaseName, Fence> given_up_;  // the highest fence of each that was given back
     AskNo last_;
 };
 
--- a/src/lease/register.cpp
+++ b/src/lease/register.cpp
@@ -55,21 +55,21 @@
     if (it != leases_.end()) std::erase(it->second.waiting, member);
 }
 
-bool Register::raise(double unix_time, const LeaseName& name, Fence fence, const std::string& key,
-                     const std::string& text) {
+Change Register::raise(double unix_time, const LeaseName& name, Fence fence, const std::string& key,
+                       const std::string& text) {
     const Lease* lease = find(name);
     // Danger: a deposed holder would raise beside its successor.
-    if (!lease || lease->now.fence != fence || fence == Fence{}) return false;
+    if (!lease || lease->now.fence != fence || fence == Fence{}) return Change::over;
     auto& all = raised_[name];
-    if (all.contains(key) || all.size() >= kRaisedMost) return false;
+    if (all.contains(key) || all.size() >= kRaisedMost) return Change::as_it_was;
     all.emplace(key, Raised{fence, unix_time, text});
-    return true;
+    return Change::done;
 }
-bool Register::clear(const LeaseName& name, Fence fence, const std::string& key) {
+Change Register::clear(const LeaseName& name, Fence fence, const std::string& key) {
     const Lease* lease = find(name);
-    if (!lease || lease->now.fence != fence || fence == Fence{}) return false;
+    if (!lease || lease->now.fence != fence || fence == Fence{}) return Change::over;
     const auto it = raised_.find(name);
-    return it != raised_.end() && it->second.erase(key) > 0;
+    return it != raised_.end() && it->second.erase(key) > 0 ? Change::done : Change::as_it_was;
 }
 
 void Register::restore(std::map<LeaseName, Lease> leases, RaisedBy raised) {
--- a/src/lease/register.hpp
+++ b/src/lease/register.hpp
@@ -40,6 +40,10 @@
     bool operator==(const Raised&) const = default;
 };
 
+// What came of an alarm that was to be raised or cleared: it changed, it stood (or did not) already, or the
+// fence was no longer the lease's.
+enum class Change { done, as_it_was, over };
+
 class Register {
   public:
     // What the records say; `at` is the record's own place, and so the fence of a grant that follows from it.
@@ -50,10 +54,10 @@
                 const std::vector<Member>& absent);
     void take_away(const LeaseName& lease, Fence fence);
     void stop_waiting(const LeaseName& lease, const Member& member);
-    // By the holder of the lease under that fence. False where an older fence asks, or it stood (or did not).
-    bool raise(double unix_time, const LeaseName& lease, Fence fence, const std::string& key,
-               const std::string& text);
-    bool clear(const LeaseName& lease, Fence fence, const std::string& key);
+    // By the holder of the lease under that fence.
+    Change raise(double unix_time, const LeaseName& lease, Fence fence, const std::string& key,
+                 const std::string& text);
+    Change clear(const LeaseName& lease, Fence fence, const std::string& key);
 
     const Lease* find(const LeaseName& lease) const;
     const std::map<LeaseName, Lease>& leases() const { return leases_; }
--- a/src/planner/codec.cpp
+++ b/src/planner/codec.cpp
@@ -134,10 +134,10 @@
             leases.stop_waiting(effect.lease, effect.member);
             break;
         case wire::Command::RAISE:
-            effect.done = leases.raise(said.unix_time(), effect.lease, fence, said.key(), said.text());
+            effect.change = leases.raise(said.unix_time(), effect.lease, fence, said.key(), said.text());
             break;
         case wire::Command::CLEAR:
-            effect.done = leases.clear(effect.lease, fence, said.key());
+            effect.change = leases.clear(effect.lease, fence, said.key());
             break;
         case wire::Command::ADMIT:
             enrolment.admit(fleet::Name{said.seat().name()}, Peer{said.seat().peer()}, said.seat().address());
--- a/src/planner/codec.hpp
+++ b/src/planner/codec.hpp
@@ -27,7 +27,7 @@
     lease::LeaseName lease;
     bool take = false;
     lease::Member member;
-    bool done = false;  // an alarm was raised that did not stand, or cleared
+    lease::Change change = lease::Change::done;  // of an alarm
 };
 Effect apply(const std::string& command, consensus::LogIndex at, lease::Register& leases,
              consensus::Enrolment& enrolment);
--- /dev/null
+++ b/src/planner/office.hpp
@@ -0,0 +1,113 @@
+// A planner without its sockets, disk and clock: the log, what it came to, and the leader's side of leases,
+// joined. What ships, what runs in virtual time and what is searched in small worlds is this.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "consensus/enrolment.hpp"
+#include "consensus/raft.hpp"
+#include "lease/lessor.hpp"
+#include "planner/codec.hpp"
+
+namespace tideline::planner {
+
+// What a planner may do, besides what its log does. None of it calls back into it.
+class OfficeHost : public consensus::RaftPost {
+  public:
+    virtual void answer(lease::AskNo no, lease::Answer what, lease::Fence fence, Seconds span,
+                        std::size_t before) = 0;
+    // What was to be decided by a record: it is, and whether it changed anything.
+    virtual void decided(lease::AskNo no, bool changed) = 0;
+    virtual void your_turn(const lease::Member& member, const lease::LeaseName& lease,
+                           lease::Fence fence) = 0;
+};
+
+struct OfficeTerms {
+    consensus::RaftTerms log;
+    lease::LessorTerms leases;
+    std::size_t keep = 1000;  // records before they are made a snapshot
+};
+
+class Office : consensus::RaftState, lease::LessorHost {
+  public:
+    Office(OfficeHost& host, const OfficeTerms& terms, consensus::Peer self, consensus::Kept kept,
+           std::uint64_t seed, Seconds now);
+    Office(const Office& other, OfficeHost& host);  // the same state in another world
+    // The first disk of a new cluster.
+    static consensus::Kept founding(consensus::Peer self, const consensus::Name& name,
+                                    const std::string& address);
+
+    // What another planner said, or that something is on the disk: told to the log in `call`.
+    template <class Call>
+    void log(Seconds now, Call call) {
+        call(raft_);
+        settle(now);
+    }
+    void tick(Seconds now);
+    Seconds due() const { return std::min(raft_.due(), lessor_.due()); }  // when tick is to be called next
+    // All that arrived at one moment was told: what it asks for of the other planners goes out at once.
+    void pass_ended(Seconds now);
+    bool wants_pass() const { return wants_round_; }
+
+    void take(Seconds now, lease::AskNo no, const lease::LeaseName& lease, const lease::Member& member);
+    void renew(Seconds now, lease::AskNo no, const lease::LeaseName& lease, const lease::Member& member,
+               lease::Fence fence);
+    void give_back(Seconds now, lease::AskNo no, const lease::LeaseName& lease, const lease::Member& member,
+                   lease::Fence fence);
+    void stop_waiting(Seconds now, lease::AskNo no, const lease::LeaseName& lease,
+                      const lease::Member& member);
+    // An alarm for all, by the holder of the lease under that fence: raised, or cleared.
+    void alarm(Seconds now, lease::AskNo no, const lease::LeaseName& lease, lease::Fence fence, bool raised,
+               const std::string& key, const std::string& text);
+    void take_away(Seconds now, lease::AskNo no, const lease::LeaseName& lease);
+    void admit(Seconds now, lease::AskNo no, consensus::Peer peer, const consensus::Name& name,
+               const std::string& address);
+    void remove(Seconds now, lease::AskNo no, const consensus::Name& name);
+
+    bool serves() const { return lessor_.leads(); }  // it leads and may answer
+    const consensus::Raft& log() const { return raft_; }
+    const lease::Register& leases() const { return leases_; }
+    const consensus::Enrolment& enrolment() const { return enrolment_; }
+    Seconds left(Seconds now, const lease::LeaseName& lease) const { return lessor_.left(now, lease); }
+    // Unix time is the present time and this. It is for people to read and decides nothing.
+    void unix_time_is(double offset) { unix_offset_ = offset; }
+    std::string state(Seconds now) const;
+
+  private:
+    // consensus::RaftState
+    void apply(consensus::LogIndex at, const Record& record) override;
+    void restore(const Snapshot& snapshot) override;
+    // lease::LessorHost
+    void propose_take(const lease::LeaseName& lease, const lease::Member& member) override;
+    void propose_end(const lease::LeaseName& lease, lease::Fence fence, lease::End how,
+                     const std::vector<lease::Member>& absent) override;
+    void propose_stop_waiting(const lease::LeaseName& lease, const lease::Member& member) override;
+    lease::Confirm confirm() override;
+    void answer(lease::AskNo no, lease::Answer what, lease::Fence fence, Seconds span,
+                std::size_t before) override {
+        host_->answer(no, what, fence, span, before);
+    }
+    void your_turn(const lease::Member& member, const lease::LeaseName& lease, lease::Fence fence) override {
+        host_->your_turn(member, lease, fence);
+    }
+    consensus::LogIndex propose(wire::Command& command);
+    void decide(Seconds now, lease::AskNo no, wire::Command& command);
+    void settle(Seconds now);
+
+    OfficeHost* host_;
+    OfficeTerms terms_;
+    lease::Register leases_;
+    consensus::Enrolment enrolment_;
+    Seconds now_ = 0;  // of the call that is under way
+    double unix_offset_ = 0;
+    lease::Lessor lessor_;
+    consensus::Raft raft_;
+    consensus::Reign lessor_reign_;
+    std::map<consensus::LogIndex, lease::AskNo> decided_;  // by the record that decides them
+    bool wants_round_ = false;
+};
+
+}  // namespace tideline::planner
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -2,20 +2,17 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <limits>
 
 #include "fleet/wire.hpp"
 #include "lease/clock.hpp"
 #include "net/must.hpp"
-#include "planner/codec.hpp"
 
 namespace tideline::planner {
 namespace {
 
-using consensus::LogIndex;
-using consensus::Reign;
-using consensus::Round;
 using fleet::LinkNo;
 using fleet::Name;
 using lease::AskNo;
@@ -30,20 +27,11 @@
 constexpr Seconds kRouteFor = 60;          // s: a member that waits asks more often
 constexpr Seconds kKnockerFor = 5;         // s: a planner that knocks does so every second
 constexpr std::size_t kAskedMost = 20000;  // questions at once: members of a large fleet, some asking twice
-constexpr std::uint64_t kNear = 64;        // records: a learner that lacks fewer has caught up
-constexpr Seconds kHeardOfLate = 2;        // s
+constexpr Seconds kSilent = 2;             // s: a planner not heard for longer is shown so
 
 double unix_now() {
     return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
-void put_member(const Member& member, wire::Member& to) {
-    to.set_name(member.name.value), to.set_life(member.life.value);
-}
-void put_seat(consensus::Peer peer, const Name& name, const std::string& address, wire::Command& to) {
-    to.mutable_seat()->set_peer(peer.value), to.mutable_seat()->set_name(name.value);
-    to.mutable_seat()->set_address(address);
-}
-
 }  // namespace
 
 Planner::Planner(net::Loop& loop, net::Log& log, const Binder& binder, bool founds, std::uint64_t seed)
@@ -52,7 +40,6 @@
       binder_(binder),
       vault_(binder.folder, binder.name, seed | 1),
       parley_(loop, *this, {binder.links, binder.frame}, net::address_of(binder.address)->host),
-      lessor_(*this, binder.leases, leases_),
       cluster_(vault_.cluster()),
       founds_(founds) {
     if (founds && cluster_.value != 0)
@@ -63,41 +50,41 @@
     if (!founds) rise(vault_.kept());
 }
 Planner::~Planner() {
-    for (auto* key : {&ring_, &write_, &round_, &knock_}) loop_.due.cancel(*key);
+    for (auto* key : {&ring_, &write_, &pass_, &knock_}) loop_.due.cancel(*key);
 }
 void Planner::rise(consensus::Kept kept) {
-    consensus::RaftHost& host = *this;
-    raft_ = std::make_unique<consensus::Raft>(host, binder_.log, self(), std::move(kept), vault_.disk().value,
-                                              lasting_now());
+    const OfficeTerms terms{binder_.log, binder_.leases, binder_.keep};
+    OfficeHost& host = *this;
+    office_ =
+        std::make_unique<Office>(host, terms, self(), std::move(kept), vault_.disk().value, lasting_now());
+    office_->unix_time_is(unix_now() - lasting_now());
 }
 void Planner::begin() {
     log_.line("planner: {} at {}, {}", binder_.name.value, binder_.address,
               founds_ ? "about to found a cluster"
               : cluster_.value > 0
-                  ? fmt::format("cluster {:016x}, {} records", cluster_.value, raft_->last().value)
+                  ? fmt::format("cluster {:016x}, {} records", cluster_.value, office_->log().last().value)
                   : "without a cluster: knocks at the others");
     if (founds_) loop_.due.at(net::clock_now() + kFoundAfter, [this] { found(); });
     knock();
-    settle();
+    ring();
 }
 void Planner::found() {
     if (!broken_.empty()) return;
     cluster_ = {vault_.disk().value ^ static_cast<std::uint64_t>(unix_now() * 1e6)};
-    enrolment_.admit(binder_.name, self(), binder_.address);
-    consensus::Storing first;
-    first.promise = consensus::Promise{Reign{1}, {}};
-    first.snapshot =
-        consensus::Snapshot{LogIndex{1}, Reign{1}, enrolment_.wanted(), state_of(leases_, enrolment_)};
+    const consensus::Kept first = Office::founding(self(), binder_.name, binder_.address);
     try {
         vault_.belongs(cluster_);
-        vault_.store({first});
+        consensus::Storing what;
+        what.promise = first.promise, what.snapshot = first.snapshot;
+        vault_.store({what});
     } catch (const std::exception& error) {
         broken_ = error.what();
         return;
     }
-    rise({*first.promise, *first.snapshot, {}});
+    rise(first);
     log_.line("planner: founded cluster {:016x}", cluster_.value);
-    settle();
+    ring();
 }
 
 // --- To other planners
@@ -107,54 +94,20 @@
     word.mutable_from()->mutable_self()->set_address(binder_.address);
     return word;
 }
-void Planner::send(Peer to, wire::Word& word, Reign reign) {
-    wire::Planning& said = *word.mutable_planning();
-    said.set_cluster(cluster_.value), said.set_from(self().value), said.set_to(to.value);
-    said.set_reign(reign.value);
-    const auto seat = raft_->council().find(to);
+void Planner::say(Peer to, const wire::Planning& what) {
+    wire::Word said = word();
+    *said.mutable_planning() = what;
+    said.mutable_planning()->set_cluster(cluster_.value);
+    const auto seat = office_->log().council().find(to);
     const auto met = met_.find(to);
     if (met != met_.end())
-        parley_.send(met->second.first, met->second.second, word);
-    else if (seat != raft_->council().end())
-        parley_.send(seat->second.name, seat->second.address, word);
-}
-void Planner::ask_vote(Peer to, Reign reign, LogIndex last, Reign last_reign, bool rehearsal) {
-    wire::Word said = word();
-    wire::VoteAsk& ask = *said.mutable_planning()->mutable_vote_ask();
-    ask.set_last(last.value), ask.set_last_reign(last_reign.value), ask.set_rehearsal(rehearsal);
-    send(to, said, reign);
-}
-void Planner::answer_vote(Peer to, Reign reign, bool granted, bool rehearsal) {
-    wire::Word said = word();
-    said.mutable_planning()->mutable_vote_answer()->set_granted(granted);
-    said.mutable_planning()->mutable_vote_answer()->set_rehearsal(rehearsal);
-    send(to, said, reign);
-}
-void Planner::tell(Peer to, Reign reign, LogIndex before, Reign before_reign,
-                   const std::vector<consensus::Record>& records, LogIndex committed, Round round) {
-    wire::Word said = word();
-    wire::Tell& tell = *said.mutable_planning()->mutable_tell();
-    tell.set_before(before.value), tell.set_before_reign(before_reign.value);
-    for (const auto& record : records) put(record, *tell.add_records());
-    tell.set_committed(committed.value), tell.set_round(round.value);
-    send(to, said, reign);
-}
-void Planner::tell_snapshot(Peer to, Reign reign, const consensus::Snapshot& snapshot, Round round) {
-    wire::Word said = word();
-    wire::TellSnapshot& tell = *said.mutable_planning()->mutable_tell_snapshot();
-    put(snapshot, *tell.mutable_snapshot());
-    tell.set_round(round.value);
-    send(to, said, reign);
-}
-void Planner::answer_tell(Peer to, Reign reign, bool fits, LogIndex reached, Round round) {
-    wire::Word said = word();
-    wire::TellAnswer& answer = *said.mutable_planning()->mutable_tell_answer();
-    answer.set_fits(fits), answer.set_reached(reached.value), answer.set_round(round.value);
-    send(to, said, reign);
+        parley_.send(met->second.first, met->second.second, said);
+    else if (seat != office_->log().council().end())
+        parley_.send(seat->second.name, seat->second.address, said);
 }
 void Planner::knock() {
     const Seconds now = lasting_now();
-    if (!raft_ || !raft_->council().contains(self())) {
+    if (!office_ || !office_->log().council().contains(self())) {
         wire::Word said = word();
         wire::PlannerKnock& its = *said.mutable_planning()->mutable_knock();
         its.set_name(binder_.name.value), its.set_address(binder_.address), its.set_peer(self().value);
@@ -168,17 +121,14 @@
     knock_ = loop_.due.at(net::clock_now() + kKnockEvery, [this] { knock(); });
 }
 void Planner::knocked(const Name& name, const std::string& address, Peer peer, Seconds now) {
-    if (!raft_ || !raft_->settled() || raft_->council().contains(peer)) return;
+    if (!office_ || !office_->serves() || office_->log().council().contains(peer)) return;
     knockers_[name] = {peer, address, now};
+    const consensus::Enrolment& enrolment = office_->enrolment();
     const auto meant = binder_.planners.find(name);
-    if (!enrolment_.known(name) && meant != binder_.planners.end() && meant->second == address) {
-        if (enrolment_.admitted(peer) || !admitting_.insert(name).second) return;
+    if (!enrolment.known(name) && meant != binder_.planners.end() && meant->second == address) {
         log_.line("planner: {} is here for the first time: it is admitted", name.value);
-        wire::Command command;
-        command.set_what(wire::Command::ADMIT);
-        put_seat(peer, name, address, command);
-        propose(command);
-    } else if (!enrolment_.admitted(peer) &&
+        office_->admit(now, AskNo{++last_ask_}, peer, name, address);
+    } else if (!enrolment.admitted(peer) &&
                told_.insert(fmt::format("{}{}", name.value, peer.value)).second) {
         log_.alarm(
             "planner: {} is here without a seat, as after the loss of its disk: admit it if it is to "
@@ -205,7 +155,7 @@
         if (route != routes_.end() && route->second.planner.value.empty())
             parley_.reply(route->second.link, word);
     }
-    settle();
+    ring();
 }
 void Planner::planning(LinkNo link, const wire::Word& word) {
     const Seconds now = lasting_now();
@@ -225,14 +175,12 @@
             return knocked(Name{p.knock().name()}, p.knock().address(), Peer{p.knock().peer()}, now);
     }
     if (p.here()) {
-        if (founds_ && !raft_ && p.cluster() != 0)
+        if (founds_ && !office_ && p.cluster() != 0)
             broken_ = fmt::format("{} belongs to cluster {:016x}: start without --found to join it",
                                   name.value, p.cluster());
         if (cluster_.value == 0 || p.cluster() == cluster_.value) return;
     }
-    const Peer from{p.from()}, to{p.to()};
-    const Reign reign{p.reign()};
-    if (cluster_.value == 0 && raft_ && to == self() && p.cluster() != 0 &&
+    if (cluster_.value == 0 && office_ && Peer{p.to()} == self() && p.cluster() != 0 &&
         (p.has_tell() || p.has_tell_snapshot())) {
         // It was let in under its own disk's number.
         try {
@@ -246,40 +194,15 @@
     }
     // Danger: a planner with another cluster's disk would vote, and be told records, of what it is no part
     // of.
-    if (p.cluster() != cluster_.value || !raft_) {
-        if (raft_ && p.cluster() != 0 && cluster_.value != 0 && told_.insert("cluster " + name.value).second)
+    if (p.cluster() != cluster_.value || !office_) {
+        if (office_ && p.cluster() != 0 && cluster_.value != 0 &&
+            told_.insert("cluster " + name.value).second)
             log_.alarm("planner: {} is of another cluster, {:016x}: nothing of it is taken", name.value,
                        p.cluster());
         return;
     }
-    met_[from] = {name, address};
-    switch (p.what_case()) {
-        case wire::Planning::kVoteAsk:
-            raft_->vote_asked(now, from, to, reign, {p.vote_ask().last()}, {p.vote_ask().last_reign()},
-                              p.vote_ask().rehearsal());
-            break;
-        case wire::Planning::kVoteAnswer:
-            raft_->vote_answered(now, from, to, reign, p.vote_answer().granted(),
-                                 p.vote_answer().rehearsal());
-            break;
-        case wire::Planning::kTell: {
-            std::vector<consensus::Record> records;
-            for (const auto& record : p.tell().records()) records.push_back(record_from(record));
-            raft_->told(now, from, to, reign, {p.tell().before()}, {p.tell().before_reign()}, records,
-                        {p.tell().committed()}, {p.tell().round()});
-            break;
-        }
-        case wire::Planning::kTellSnapshot:
-            raft_->snapshot_told(now, from, to, reign, snapshot_from(p.tell_snapshot().snapshot()),
-                                 {p.tell_snapshot().round()});
-            break;
-        case wire::Planning::kTellAnswer:
-            raft_->tell_answered(now, from, to, reign, p.tell_answer().fits(), {p.tell_answer().reached()},
-                                 {p.tell_answer().round()});
-            break;
-        default:
-            break;
-    }
+    met_[Peer{p.from()}] = {name, address};
+    hear(*office_, now, p);
 }
 
 // --- The disk
@@ -299,67 +222,11 @@
         broken_ = error.what();
         return;
     }
-    raft_->stored(lasting_now(), store_no_);
-    settle();
-}
-void Planner::apply(LogIndex at, const consensus::Record& record) {
-    if (record.kind != consensus::RecordKind::command) return;
-    const Effect effect = planner::apply(record.body, at, leases_, enrolment_);
     const Seconds now = lasting_now();
-    if (effect.take)
-        lessor_.applied_take(now, effect.lease, effect.member);
-    else if (!effect.lease.value.empty())
-        lessor_.applied(now, effect.lease);
-    const auto decided = decided_.find(at);
-    if (decided == decided_.end()) return;
-    const auto asked = asked_.find(decided->second);
-    if (asked != asked_.end()) {
-        wire::LeaseAnswer answer;
-        answer.set_done(effect.done);
-        reply(asked->second, answer);
-        asked_.erase(asked);
-    }
-    decided_.erase(decided);
-}
-void Planner::restore(const consensus::Snapshot& snapshot) {
-    if (!planner::restore(snapshot.state, leases_, enrolment_)) broken_ = "a snapshot that can't be read";
+    office_->log(now, [&](consensus::Raft& raft) { raft.stored(now, store_no_); });
+    ring();
 }
 
-// --- The lessor
-LogIndex Planner::propose(wire::Command& command) {
-    command.set_unix_time(unix_now());
-    return raft_->propose(lasting_now(), command.SerializeAsString());
-}
-void Planner::propose_take(const LeaseName& lease, const Member& member) {
-    wire::Command command;
-    command.set_what(wire::Command::TAKE), command.set_lease(lease.value);
-    put_member(member, *command.mutable_member());
-    propose(command);
-}
-void Planner::propose_end(const LeaseName& lease, Fence fence, lease::End how,
-                          const std::vector<Member>& absent) {
-    wire::Command command;
-    command.set_what(wire::Command::END), command.set_lease(lease.value), command.set_fence(fence.value);
-    command.set_end(static_cast<std::uint32_t>(how));
-    for (const Member& each : absent) put_member(each, *command.add_absent());
-    propose(command);
-}
-void Planner::propose_stop_waiting(const LeaseName& lease, const Member& member) {
-    wire::Command command;
-    command.set_what(wire::Command::STOP_WAITING), command.set_lease(lease.value);
-    put_member(member, *command.mutable_member());
-    propose(command);
-}
-lease::Confirm Planner::confirm() {
-    // All that is asked in one pass is confirmed by one round.
-    if (round_ == net::Due::kNone)
-        round_ = loop_.due.soon([this] {
-            round_ = net::Due::kNone;
-            if (raft_->leads()) raft_->confirm();
-            settle();
-        });
-    return {raft_->round().value + 1};
-}
 void Planner::answer(AskNo no, lease::Answer what, Fence fence, Seconds span, std::size_t before) {
     const auto asked = asked_.find(no);
     if (asked == asked_.end()) return;
@@ -369,6 +236,20 @@
     reply(asked->second, answer);
     asked_.erase(asked);
 }
+void Planner::decided(AskNo no, bool changed) {
+    const auto asked = asked_.find(no);
+    if (asked == asked_.end()) return;
+    wire::LeaseAnswer answer;
+    answer.set_done(changed);
+    reply(asked->second, answer);
+    asked_.erase(asked);
+}
+void Planner::refuse(AskNo no, const std::string& why) {
+    wire::LeaseAnswer answer;
+    answer.set_what(static_cast<std::uint32_t>(lease::Answer::refused)), answer.set_why(why);
+    reply(asked_[no], answer);
+    asked_.erase(no);
+}
 void Planner::reply(const Asked& asked, wire::LeaseAnswer& answer) {
     wire::Word said = word();
     answer.set_no(asked.no), answer.set_cluster(cluster_.value);
@@ -395,15 +276,15 @@
     const Member member{Name{ask.member()}, lease::Life{ask.life()}};
     if (!member.name.value.empty())
         routes_[member] = {link, ask.passed_on() ? Name{word.from().self().name()} : Name{}, now};
-    if (raft_ && raft_->settled()) return serve(now, no, ask);
-    const auto leader = raft_ ? raft_->council().find(raft_->leader()) : consensus::Council::const_iterator{};
-    const bool known = raft_ && raft_->leader() != self() && leader != raft_->council().end();
-    if (known && !ask.passed_on()) {
+    if (office_ && office_->serves()) return serve(now, no, ask);
+    const Peer leads = office_ ? office_->log().leader() : Peer{};
+    if (leads != Peer{} && leads != self() && !ask.passed_on() && office_->log().council().contains(leads)) {
+        const consensus::Seat& leader = office_->log().council().at(leads);
         wire::Word on = this->word();
         *on.mutable_lease_ask() = ask;
         on.mutable_lease_ask()->set_no(no.value);
         on.mutable_lease_ask()->set_passed_on(true);
-        return parley_.send(leader->second.name, leader->second.address, on);
+        return parley_.send(leader.name, leader.address, on);
     }
     if (ask.what() != wire::LeaseAsk::TABLE) return answer(no, lease::Answer::not_now, {}, 0, 0);
     wire::LeaseAnswer answer;
@@ -416,60 +297,40 @@
     const LeaseName lease{ask.lease()};
     const Member member{Name{ask.member()}, lease::Life{ask.life()}};
     const Fence fence{ask.fence()};
-    wire::Command command;
-    command.set_lease(ask.lease()), command.set_fence(ask.fence());
-    const auto decide = [&] {
-        const LogIndex at = propose(command);
-        if (at.value == 0) return answer(no, lease::Answer::not_now, {}, 0, 0);
-        decided_[at] = no;
-    };
-    const auto turn_away = [&](const std::string& why) {
-        wire::LeaseAnswer refusal;
-        refusal.set_what(static_cast<std::uint32_t>(lease::Answer::refused)), refusal.set_why(why);
-        reply(asked_[no], refusal);
-        asked_.erase(no);
-    };
+    const Name planner{ask.key()};
     switch (ask.what()) {
         case wire::LeaseAsk::TAKE:
-            return lessor_.asked_take(now, no, lease, member);
+            return office_->take(now, no, lease, member);
         case wire::LeaseAsk::RENEW:
-            return lessor_.asked_renew(now, no, lease, member, fence);
+            return office_->renew(now, no, lease, member, fence);
         case wire::LeaseAsk::GIVE_BACK:
-            return lessor_.asked_give_back(now, no, lease, member, fence);
+            return office_->give_back(now, no, lease, member, fence);
         case wire::LeaseAsk::STOP_WAITING:
-            return lessor_.asked_stop_waiting(now, no, lease, member);
+            return office_->stop_waiting(now, no, lease, member);
         case wire::LeaseAsk::RAISE:
-        case wire::LeaseAsk::CLEAR: {
-            const lease::Lease* its = leases_.find(lease);
-            if (!its || its->now.fence != fence) return answer(no, lease::Answer::over, fence, 0, 0);
-            command.set_what(ask.what() == wire::LeaseAsk::RAISE ? wire::Command::RAISE
-                                                                 : wire::Command::CLEAR);
-            command.set_key(ask.key()), command.set_text(ask.text());
-            return decide();
-        }
+        case wire::LeaseAsk::CLEAR:
+            return office_->alarm(now, no, lease, fence, ask.what() == wire::LeaseAsk::RAISE, ask.key(),
+                                  ask.text());
         case wire::LeaseAsk::TAKE_AWAY: {
-            const lease::Lease* its = leases_.find(lease);
+            const lease::Lease* its = office_->leases().find(lease);
             if (!its || its->now.fence == Fence{})
-                return turn_away("nobody holds the lease '" + lease.value + "'");
-            command.set_what(wire::Command::TAKE_AWAY), command.set_fence(its->now.fence.value);
-            return decide();
+                return refuse(no, "nobody holds the lease '" + lease.value + "'");
+            return office_->take_away(now, no, lease);
         }
         case wire::LeaseAsk::ADMIT: {
-            const auto knocker = knockers_.find(Name{ask.key()});
+            const auto knocker = knockers_.find(planner);
             if (knocker == knockers_.end())
-                return turn_away("no planner '" + ask.key() +
-                                 "' knocks: start it first, with its folder empty");
-            command.set_what(wire::Command::ADMIT);
-            put_seat(knocker->second.peer, knocker->first, knocker->second.address, command);
-            return decide();
+                return refuse(
+                    no, "no planner '" + planner.value + "' knocks: start it first, with its folder empty");
+            return office_->admit(now, no, knocker->second.peer, planner, knocker->second.address);
         }
         case wire::LeaseAsk::REMOVE: {
-            bool there = false;
-            for (const auto& [peer, seat] : enrolment_.wanted()) there |= seat.name.value == ask.key();
-            if (!there) return turn_away("no planner '" + ask.key() + "' has a seat");
-            if (enrolment_.wanted().size() <= 1) return turn_away("it is the only planner");
-            command.set_what(wire::Command::REMOVE), command.mutable_seat()->set_name(ask.key());
-            return decide();
+            const auto& seats = office_->enrolment().wanted();
+            if (std::none_of(seats.begin(), seats.end(),
+                             [&](auto& each) { return each.second.name == planner; }))
+                return refuse(no, "no planner '" + planner.value + "' has a seat");
+            if (seats.size() <= 1) return refuse(no, "it is the only planner");
+            return office_->remove(now, no, planner);
         }
         default:
             wire::LeaseAnswer told;
@@ -481,26 +342,27 @@
 void Planner::table(wire::PlannerTable& to) const {
     const Seconds now = lasting_now();
     to.set_asked(binder_.name.value);
-    put(leases_, to);
-    for (auto& each : *to.mutable_leases()) each.set_left(lessor_.left(now, LeaseName{each.name()}));
-    if (!raft_) return;
-    to.set_reign(raft_->reign().value), to.set_committed(raft_->committed().value);
-    to.set_last(raft_->last().value), to.set_snapshot(raft_->snapshot_at().value);
-    for (const auto& [peer, seat] : raft_->council()) {
-        if (peer == raft_->leader()) to.set_leader(seat.name.value);
+    if (!office_) return;
+    const consensus::Raft& log = office_->log();
+    put(office_->leases(), to);
+    for (auto& each : *to.mutable_leases()) each.set_left(office_->left(now, LeaseName{each.name()}));
+    to.set_reign(log.reign().value), to.set_committed(log.committed().value);
+    to.set_last(office_->log().last().value), to.set_snapshot(log.snapshot_at().value);
+    for (const auto& [peer, seat] : log.council()) {
+        if (peer == log.leader()) to.set_leader(seat.name.value);
         wire::PlannerRow& row = *to.add_planners();
         row.mutable_seat()->set_name(seat.name.value), row.mutable_seat()->set_address(seat.address);
         row.mutable_seat()->set_peer(peer.value), row.mutable_seat()->set_votes(seat.votes);
-        row.set_reached(raft_->reached(peer).value);
-        const Seconds ago = raft_->heard_ago(now, peer);
+        row.set_reached(log.reached(peer).value);
+        const Seconds ago = log.heard_ago(now, peer);
         row.set_heard_ago(ago < 1e9 ? ago : -1);
-        row.set_state(peer == raft_->leader()                   ? "leads"
-                      : raft_->leads() && !(ago < kHeardOfLate) ? "silent"
-                      : seat.votes                              ? "votes"
-                                                                : "learns");
+        row.set_state(peer == log.leader()              ? "leads"
+                      : log.leads() && !(ago < kSilent) ? "silent"
+                      : seat.votes                      ? "votes"
+                                                        : "learns");
     }
     for (const auto& [name, knocker] : knockers_) {
-        if (raft_->council().contains(knocker.peer)) continue;
+        if (log.council().contains(knocker.peer)) continue;
         wire::PlannerRow& row = *to.add_planners();
         row.mutable_seat()->set_name(name.value), row.mutable_seat()->set_address(knocker.address);
         row.mutable_seat()->set_peer(knocker.peer.value);
@@ -508,44 +370,22 @@
     }
 }
 
-// --- After anything happened
-void Planner::settle() {
-    if (!raft_ || settling_ || !broken_.empty()) return;
-    settling_ = true;
-    const Seconds now = lasting_now();
-    if (lessor_.leads() && (!raft_->leads() || raft_->reign() != lessor_reign_)) {
-        lessor_.ended();
-        for (const auto& [at, no] : std::exchange(decided_, {})) answer(no, lease::Answer::not_now, {}, 0, 0);
-        admitting_.clear();
-    }
-    if (!lessor_.leads() && raft_->settled()) {
-        lessor_reign_ = raft_->reign();
-        lessor_.began(now);
-    }
-    if (lessor_.leads()) {
-        lessor_.confirmed({raft_->confirmed().value});
-        lessor_.tick(now);
-        const auto caught_up = [&](Peer peer) {
-            return raft_->reached(peer).value + kNear >= raft_->committed().value &&
-                   raft_->heard_ago(now, peer) < kHeardOfLate;
-        };
-        if (const auto next = enrolment_.step(raft_->council(), caught_up))
-            if (raft_->change(now, *next).value > 0)
-                log_.line("planner: the council is to have {} seats", next->size());
-    }
-    if (raft_->applied().value > raft_->snapshot_at().value + binder_.keep)
-        raft_->compact(raft_->applied(), state_of(leases_, enrolment_));
-    settling_ = false;
-    ring();
-}
 void Planner::ring() {
+    if (!office_ || !broken_.empty()) return;
+    if (office_->wants_pass() && pass_ == net::Due::kNone)
+        pass_ = loop_.due.soon([this] {
+            pass_ = net::Due::kNone;
+            office_->pass_ended(lasting_now());
+            ring();
+        });
     loop_.due.cancel(ring_);
-    const Seconds at = std::min(raft_->due(), lessor_.due());
+    const Seconds at = office_->due();
     if (at == std::numeric_limits<double>::infinity()) return;
     ring_ = loop_.due.at(net::clock_now() + std::max(0.0, at - lasting_now()), [this] {
         ring_ = net::Due::kNone;
-        raft_->tick(lasting_now());
-        settle();
+        office_->unix_time_is(unix_now() - lasting_now());
+        office_->tick(lasting_now());
+        ring();
     });
 }
 
--- /dev/null
+++ b/tools/council/world.cpp
@@ -0,0 +1,635 @@
+#include "council/world.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace tideline::simulated {
+namespace {
+
+using consensus::LogIndex;
+using lease::AskNo;
+using lease::Life;
+using lease::Member;
+using lease::Name;
+
+constexpr std::size_t kChosenMost = 4096;  // records and states remembered for comparison
+
+std::string planner_name(int number) { return fmt::format("p{}", number + 1); }
+
+}  // namespace
+
+const LeaseName Council::kLease{"task"};
+
+class Council::PlannerNode : public planner::Scribe {
+  public:
+    PlannerNode(Council& world, int its_number) : all(&world), number(its_number) {}
+    PlannerNode(const PlannerNode& other, Council& world)
+        : all(&world),
+          number(other.number),
+          disk(other.disk),
+          kept(other.kept),
+          to_store(other.to_store),
+          store_no(other.store_no),
+          asked(other.asked),
+          last_ask(other.last_ask),
+          starts(other.starts) {
+        if (other.office)
+            office =
+                std::make_unique<planner::Office>(*other.office, static_cast<planner::OfficeHost&>(*this));
+    }
+    // Scribe
+    Peer self() const override {
+        return consensus::peer_of(Name{planner_name(number)}, consensus::Disk{disk});
+    }
+    void say(Peer to, const wire::Planning& what) override {
+        wire::Word word;
+        *word.mutable_planning() = what;
+        const int node = all->planner_of(to);
+        if (node >= 0) all->send(number, node, word);
+    }
+    void store(consensus::StoreNo no, const consensus::Storing& what) override {
+        to_store.push_back(what);
+        store_no = no;
+    }
+    void note(const std::string&) override {}
+    void answer(AskNo no, lease::Answer what, Fence fence, Seconds span, std::size_t before) override {
+        wire::LeaseAnswer said;
+        said.set_what(static_cast<std::uint32_t>(what)), said.set_fence(fence.value);
+        said.set_span(span), said.set_before(before);
+        reply(no, said);
+    }
+    void decided(AskNo no, bool changed) override {
+        wire::LeaseAnswer said;
+        said.set_done(changed);
+        reply(no, said);
+    }
+    void your_turn(const Member& member, const LeaseName& lease, Fence fence) override {
+        wire::Word word;
+        word.mutable_turn()->set_lease(lease.value), word.mutable_turn()->set_fence(fence.value);
+        word.mutable_turn()->set_life(member.life.value);
+        all->send(number, std::stoi(member.name.value.substr(1)), word);
+    }
+    void reply(AskNo no, wire::LeaseAnswer& said) {
+        const auto it = asked.find(no);
+        if (it == asked.end()) return;
+        wire::Word word;
+        said.set_no(it->second.second);
+        *word.mutable_lease_answer() = said;
+        all->send(number, it->second.first, word);
+        asked.erase(it);
+    }
+    void rise() {
+        to_store.clear(), asked.clear();
+        office = std::make_unique<planner::Office>(
+            static_cast<planner::OfficeHost&>(*this), all->terms_.office, self(), kept,
+            all->terms_.seed * 7919ULL + static_cast<std::uint64_t>(number) * 31 + ++starts,
+            all->local(number));
+    }
+    // The same as the vault makes of it.
+    void write() {
+        for (const consensus::Storing& each : to_store) {
+            if (each.promise) kept.promise = *each.promise;
+            if (each.snapshot) {
+                const auto gone = each.snapshot->last.value - kept.snapshot.last.value;
+                if (each.clears || gone >= kept.records.size())
+                    kept.records.clear();
+                else
+                    kept.records.erase(kept.records.begin(),
+                                       kept.records.begin() + static_cast<std::ptrdiff_t>(gone));
+                kept.snapshot = *each.snapshot;
+            }
+            if (each.cut.value > 0) kept.records.resize(each.cut.value - kept.snapshot.last.value - 1);
+            for (const auto& record : each.records) kept.records.push_back(record);
+        }
+        to_store.clear();
+    }
+
+    Council* all;
+    const int number;
+    std::uint64_t disk = 1;  // drawn anew when it is wiped
+    consensus::Kept kept;
+    std::vector<consensus::Storing> to_store;
+    consensus::StoreNo store_no;
+    std::map<AskNo, std::pair<int, std::uint64_t>> asked;  // whose, and its own number
+    std::uint64_t last_ask = 0, starts = 0;
+    std::unique_ptr<planner::Office> office;  // none while it is down
+};
+
+class Council::MemberNode : public lease::LesseeHost {
+  public:
+    MemberNode(Council& world, int its_number)
+        : all(&world),
+          number(its_number),
+          planner(world.terms_.any_planner ? -1 : its_number % world.terms_.planners) {
+        rise();
+    }
+    MemberNode(const MemberNode& other, Council& world)
+        : all(&world),
+          number(other.number),
+          life(other.life),
+          planner(other.planner),
+          up(other.up),
+          wanted(other.wanted),
+          under_way(other.under_way),
+          asked(other.asked),
+          alarms(other.alarms),
+          last_alarm(other.last_alarm) {
+        if (other.lessee) lessee = std::make_unique<lease::Lessee>(*other.lessee, *this);
+    }
+    void rise() {
+        ++life;
+        up = true;
+        asked.clear(), alarms.clear(), under_way.reset();
+        lessee = std::make_unique<lease::Lessee>(*this, all->terms_.lessee, Life{life});
+        if (wanted) lessee->want(all->local(number), kLease);
+    }
+    wire::LeaseAsk ask(wire::LeaseAsk::What what, AskNo no, Fence fence) {
+        wire::LeaseAsk said;
+        said.set_what(what), said.set_no(no.value), said.set_lease(kLease.value);
+        said.set_member(fmt::format("m{}", number)), said.set_life(life), said.set_fence(fence.value);
+        return said;
+    }
+    void say(const wire::LeaseAsk& said) {
+        wire::Word word;
+        *word.mutable_lease_ask() = said;
+        all->send(number, planner, word);
+    }
+    // LesseeHost
+    void ask_take(AskNo no, const LeaseName&) override {
+        asked[no] = all->now_;
+        say(ask(wire::LeaseAsk::TAKE, no, {}));
+    }
+    void ask_renew(AskNo no, const LeaseName&, Fence fence) override {
+        asked[no] = all->now_;
+        say(ask(wire::LeaseAsk::RENEW, no, fence));
+    }
+    void ask_give_back(AskNo no, const LeaseName&, Fence fence) override {
+        say(ask(wire::LeaseAsk::GIVE_BACK, no, fence));
+    }
+    void ask_stop_waiting(AskNo no, const LeaseName&) override {
+        say(ask(wire::LeaseAsk::STOP_WAITING, no, {}));
+    }
+    void another_planner() override {
+        if (planner >= 0) planner = (planner + 1) % all->terms_.planners;
+    }
+    void held(const LeaseName&, Fence fence) override {
+        ++all->grants_;
+        const std::string who = fmt::format("m{}.{}", number, life);
+        const auto [it, fresh] = all->holders_.try_emplace(fence, who);
+        if (it->second != who)
+            all->fail(fmt::format("fence {} held by {} and {}", fence.value, it->second, who));
+        if (fresh && fence < all->highest_held_)
+            all->fail(fmt::format("{} holds fence {} after {}", who, fence.value, all->highest_held_.value));
+        all->highest_held_ = std::max(all->highest_held_, fence);
+    }
+    void lost(const LeaseName&, Fence, lease::Loss) override {}
+
+    Council* all;
+    const int number;
+    std::uint64_t life = 0;
+    int planner;  // that it asks; -1: any
+    bool up = true, wanted = false;
+    std::optional<Fence> under_way;
+    std::map<AskNo, double> asked;                // true time
+    std::map<std::uint64_t, std::size_t> alarms;  // where each is in the history
+    std::uint64_t last_alarm = 1ULL << 32;
+    std::unique_ptr<lease::Lessee> lessee;
+};
+
+Council::Council(const CouncilTerms& terms) : terms_(terms), now_(100) {
+    consensus::Council seats;
+    consensus::Enrolment enrolment;
+    for (int i = 0; i < terms_.planners; ++i) {
+        planners_.push_back(std::make_unique<PlannerNode>(*this, i));
+        seats[peer_of(i)] = {Name{planner_name(i)}, planner_name(i), true};
+        enrolment.admit(Name{planner_name(i)}, peer_of(i), planner_name(i));
+    }
+    for (auto& each : planners_) {
+        each->kept = {{{1}, {}}, {{1}, {1}, seats, planner::state_of({}, enrolment)}, {}};
+        each->rise();
+    }
+    for (int i = 0; i < terms_.members; ++i)
+        members_.push_back(std::make_unique<MemberNode>(*this, terms_.planners + i));
+}
+Council::Council(const Council& other)
+    : terms_(other.terms_),
+      now_(other.now_),
+      sent_(other.sent_),
+      gate_(other.gate_),
+      fault_(other.fault_),
+      leaders_(other.leaders_),
+      chosen_(other.chosen_),
+      came_to_(other.came_to_),
+      holders_(other.holders_),
+      highest_held_(other.highest_held_),
+      last_act_(other.last_act_),
+      history_(other.history_),
+      grants_(other.grants_),
+      acted_(other.acted_),
+      refused_(other.refused_) {
+    for (const auto& each : other.planners_) planners_.push_back(std::make_unique<PlannerNode>(*each, *this));
+    for (const auto& each : other.members_) members_.push_back(std::make_unique<MemberNode>(*each, *this));
+}
+Council::~Council() = default;
+
+double Council::local(int node) const {
+    const double rate = node < terms_.planners ? 1 + terms_.drift : 1 - terms_.drift;
+    return now_ * rate + 1000.0 * node;  // clocks have nothing in common but their pace
+}
+Peer Council::peer_of(int planner) const { return planners_[static_cast<std::size_t>(planner)]->self(); }
+int Council::planner_of(Peer peer) const {
+    for (const auto& each : planners_)
+        for (std::uint64_t disk = 1; disk <= each->disk; ++disk)
+            if (consensus::peer_of(Name{planner_name(each->number)}, consensus::Disk{disk}) == peer)
+                return each->number;  // also of a former disk: the address is the same
+    return -1;
+}
+std::string Council::name_of(int node) const {
+    return node < terms_.planners ? planner_name(node) : fmt::format("m{}", node);
+}
+void Council::fail(const std::string& what) {
+    if (fault_.empty()) fault_ = what;
+}
+void Council::send(int from, int to, const wire::Word& word) {
+    sent_.push_back({from, to, word.SerializeAsString()});
+}
+
+// --- What happens
+void Council::deliver(const Sent& sent, int to) {
+    if (!up(to)) return;
+    wire::Word word;
+    word.ParseFromString(sent.bytes);
+    const double at = local(to);
+    if (to < terms_.planners) {
+        PlannerNode& its = *planners_[static_cast<std::size_t>(to)];
+        planner::Office& office = *its.office;
+        if (word.has_planning()) {
+            planner::hear(office, at, word.planning());
+        } else if (word.has_lease_ask()) {
+            const wire::LeaseAsk& ask = word.lease_ask();
+            const Peer leader = office.log().leader();
+            if (!office.serves() && !ask.passed_on() && leader != Peer{} && leader != its.self()) {
+                // Passed on; the answer goes straight to the member here, not back the same way.
+                word.mutable_lease_ask()->set_passed_on(true);
+                return send(sent.from, planner_of(leader), word);
+            }
+            const AskNo no{++its.last_ask};
+            its.asked[no] = {sent.from, ask.no()};
+            const Member member{Name{ask.member()}, Life{ask.life()}};
+            switch (ask.what()) {
+                case wire::LeaseAsk::TAKE:
+                    office.take(at, no, kLease, member);
+                    break;
+                case wire::LeaseAsk::RENEW:
+                    office.renew(at, no, kLease, member, Fence{ask.fence()});
+                    break;
+                case wire::LeaseAsk::GIVE_BACK:
+                    office.give_back(at, no, kLease, member, Fence{ask.fence()});
+                    break;
+                case wire::LeaseAsk::STOP_WAITING:
+                    office.stop_waiting(at, no, kLease, member);
+                    break;
+                default:
+                    office.alarm(at, no, kLease, Fence{ask.fence()}, ask.what() == wire::LeaseAsk::RAISE,
+                                 "key", "text");
+            }
+        }
+        if (office.wants_pass()) office.pass_ended(at);
+        return check();
+    }
+    MemberNode& its = *members_[static_cast<std::size_t>(to - terms_.planners)];
+    if (word.has_turn()) {
+        if (word.turn().life() == its.life) its.lessee->your_turn(at, kLease);
+        return check();
+    }
+    const wire::LeaseAnswer& said = word.lease_answer();
+    if (const auto alarm = its.alarms.find(said.no()); alarm != its.alarms.end()) {
+        Observed& seen = history_[alarm->second];
+        const bool raised = seen.what == Observed::may_raise;
+        // Turned away at once, it did not happen; where the leader went meanwhile nobody knows.
+        if (static_cast<lease::Answer>(said.what()) == lease::Answer::over) seen.asked = -1;
+        if (static_cast<lease::Answer>(said.what()) == lease::Answer::granted) {
+            seen.what = raised ? (said.done() ? Observed::raised : Observed::not_raised)
+                               : (said.done() ? Observed::cleared : Observed::not_cleared);
+            seen.answered = now_;
+        }
+        its.alarms.erase(alarm);
+        return;
+    }
+    const AskNo no{said.no()};
+    switch (static_cast<lease::Answer>(said.what())) {
+        case lease::Answer::granted:
+            if (its.asked.contains(no))
+                history_.push_back({Observed::granted, Fence{said.fence()}, its.asked[no], now_});
+            its.lessee->granted(at, no, Fence{said.fence()}, said.span());
+            break;
+        case lease::Answer::waiting:
+            its.lessee->waiting(at, no, said.before());
+            break;
+        case lease::Answer::over:
+            its.lessee->over(at, no);
+            break;
+        case lease::Answer::not_now:
+            its.lessee->not_now(at, no);
+            break;
+        default:
+            its.lessee->refused(at, no);
+    }
+    its.asked.erase(no);
+    check();
+}
+void Council::disk_done(int planner) {
+    PlannerNode& its = *planners_[static_cast<std::size_t>(planner)];
+    if (!its.office || its.to_store.empty()) return;
+    const auto no = its.store_no;
+    its.write();
+    const double at = local(planner);
+    its.office->log(at, [&](consensus::Raft& raft) { raft.stored(at, no); });
+    if (its.office->wants_pass()) its.office->pass_ended(at);
+    check();
+}
+void Council::tick(int node) {
+    if (!up(node)) return;
+    if (node < terms_.planners) {
+        planner::Office& office = *planners_[static_cast<std::size_t>(node)]->office;
+        office.tick(local(node));
+        if (office.wants_pass()) office.pass_ended(local(node));
+    } else {
+        members_[static_cast<std::size_t>(node - terms_.planners)]->lessee->tick(local(node));
+    }
+    check();
+}
+void Council::stand(int planner) {
+    const double at = local(planner);
+    planners_[static_cast<std::size_t>(planner)]->office->log(
+        at, [&](consensus::Raft& raft) { raft.election_time_up(at); });
+    check();
+}
+void Council::beat(int planner) {
+    planners_[static_cast<std::size_t>(planner)]->office->log(local(planner),
+                                                              [&](consensus::Raft& raft) { raft.confirm(); });
+    check();
+}
+void Council::crash(int node) {
+    if (node < terms_.planners) {
+        PlannerNode& its = *planners_[static_cast<std::size_t>(node)];
+        its.office.reset();
+        its.to_store.clear();
+        return;
+    }
+    MemberNode& its = *members_[static_cast<std::size_t>(node - terms_.planners)];
+    its.lessee.reset();
+    its.up = false;
+}
+void Council::start(int node) {
+    if (up(node)) return;
+    if (node < terms_.planners)
+        planners_[static_cast<std::size_t>(node)]->rise();
+    else
+        members_[static_cast<std::size_t>(node - terms_.planners)]->rise();
+    check();
+}
+void Council::wipe(int planner) {
+    PlannerNode& its = *planners_[static_cast<std::size_t>(planner)];
+    its.kept = {};
+    ++its.disk;
+}
+void Council::admit(int planner, int by) {
+    PlannerNode& its = *planners_[static_cast<std::size_t>(by)];
+    if (!its.office) return;
+    its.office->admit(local(by), AskNo{++its.last_ask}, peer_of(planner), Name{planner_name(planner)},
+                      planner_name(planner));
+    check();
+}
+void Council::take_away(int by) {
+    PlannerNode& its = *planners_[static_cast<std::size_t>(by)];
+    if (!its.office) return;
+    its.office->take_away(local(by), AskNo{++its.last_ask}, kLease);
+    check();
+}
+void Council::want(int member, bool wanted) {
+    MemberNode& its = *members_[static_cast<std::size_t>(member - terms_.planners)];
+    its.wanted = wanted;
+    if (!its.up) return;
+    if (wanted)
+        its.lessee->want(local(member), kLease);
+    else
+        its.lessee->drop(local(member), kLease);
+    check();
+}
+void Council::guard(int member) {
+    MemberNode& its = *members_[static_cast<std::size_t>(member - terms_.planners)];
+    if (its.up) its.under_way = its.lessee->may_act(local(member), kLease);
+}
+void Council::act(int member) {
+    MemberNode& its = *members_[static_cast<std::size_t>(member - terms_.planners)];
+    if (!its.up || !its.under_way) return;
+    const Fence fence = *std::exchange(its.under_way, std::nullopt);
+    if (!gate_.passes(kLease, fence)) {
+        ++refused_;
+        return;
+    }
+    if (fence < last_act_)
+        fail(fmt::format("an act under fence {} took effect after one under {}", fence.value,
+                         last_act_.value));
+    last_act_ = std::max(last_act_, fence);
+    ++acted_;
+}
+void Council::alarm(int member, bool raised) {
+    MemberNode& its = *members_[static_cast<std::size_t>(member - terms_.planners)];
+    const auto fence = its.up ? its.lessee->may_act(local(member), kLease) : std::nullopt;
+    if (!fence) return;
+    const AskNo no{++its.last_alarm};
+    its.alarms[no.value] = history_.size();
+    history_.push_back({raised ? Observed::may_raise : Observed::may_clear, *fence, now_,
+                        std::numeric_limits<double>::infinity()});
+    its.say(its.ask(raised ? wire::LeaseAsk::RAISE : wire::LeaseAsk::CLEAR, no, *fence));
+}
+
+// --- How it stands
+bool Council::up(int node) const {
+    return node < terms_.planners ? planners_[static_cast<std::size_t>(node)]->office != nullptr
+                                  : members_[static_cast<std::size_t>(node - terms_.planners)]->up;
+}
+const planner::Office* Council::office(int planner) const {
+    return planners_[static_cast<std::size_t>(planner)]->office.get();
+}
+bool Council::writes(int planner) const {
+    const PlannerNode& its = *planners_[static_cast<std::size_t>(planner)];
+    return its.office && !its.to_store.empty();
+}
+bool Council::has_seat(int planner) const {
+    // As the leader has it, once that is committed.
+    for (const auto& each : planners_) {
+        if (!each->office || !each->office->serves()) continue;
+        const consensus::Raft& log = each->office->log();
+        const auto seat = log.council().find(peer_of(planner));
+        if (log.committed() == log.last() && seat != log.council().end() && seat->second.votes) return true;
+    }
+    return false;
+}
+bool Council::may_act(int member) const { return fence_of(member) > Fence{}; }
+Fence Council::fence_of(int member) const {
+    const MemberNode& its = *members_[static_cast<std::size_t>(member - terms_.planners)];
+    return its.up ? its.lessee->may_act(local(member), kLease).value_or(Fence{}) : Fence{};
+}
+bool Council::acts(int member) const {
+    return members_[static_cast<std::size_t>(member - terms_.planners)]->under_way.has_value();
+}
+bool Council::wants(int member) const {
+    return members_[static_cast<std::size_t>(member - terms_.planners)]->wanted;
+}
+double Council::due(int node) const {
+    if (!up(node)) return std::numeric_limits<double>::infinity();
+    const double at = node < terms_.planners
+                          ? planners_[static_cast<std::size_t>(node)]->office->due()
+                          : members_[static_cast<std::size_t>(node - terms_.planners)]->lessee->due();
+    const double rate = node < terms_.planners ? 1 + terms_.drift : 1 - terms_.drift;
+    return (at - 1000.0 * node) / rate;
+}
+
+void Council::check() {
+    if (!fault_.empty()) return;
+    // At most one member may act at any time.
+    int holder = -1;
+    for (int i = terms_.planners; i < nodes(); ++i) {
+        if (!may_act(i)) continue;
+        if (holder >= 0)
+            return fail(fmt::format("{} may act under fence {} and {} under fence {}", name_of(holder),
+                                    fence_of(holder).value, name_of(i), fence_of(i).value));
+        holder = i;
+    }
+    for (int i = 0; i < terms_.planners; ++i) {
+        const auto* its = office(i);
+        if (!its) continue;
+        const consensus::Raft& log = its->log();
+        if (log.leads()) {
+            const auto [known, fresh] = leaders_.try_emplace(log.reign(), log.self());
+            if (known->second != log.self())
+                return fail(fmt::format("two leaders of reign {}", log.reign().value));
+        }
+        // What was committed stays, and comes to the same everywhere.
+        for (LogIndex at = log.committed(); at > log.snapshot_at(); --at.value) {
+            const auto* record = log.record(at);
+            const std::string text =
+                fmt::format("{}.{}.{}", record->reign.value, static_cast<int>(record->kind), record->body);
+            const auto [known, fresh] = chosen_.try_emplace(at, text);
+            if (known->second != text)
+                return fail(fmt::format("{}: record {} is another than was committed", name_of(i), at.value));
+            if (!fresh) break;
+        }
+        const auto [came, fresh] = came_to_.try_emplace(log.applied(), its->leases().state());
+        if (!fresh && came->second != its->leases().state())
+            return fail(fmt::format("{}: record {} came to something else", name_of(i), log.applied().value));
+    }
+    while (chosen_.size() > kChosenMost) chosen_.erase(chosen_.begin());
+    while (came_to_.size() > kChosenMost) came_to_.erase(came_to_.begin());
+    while (leaders_.size() > kChosenMost) leaders_.erase(leaders_.begin());
+}
+
+std::string Council::state() const {
+    std::string text = fmt::format("{:.3f}#", now_);
+    for (const auto& each : planners_) {
+        text +=
+            fmt::format("{}{}", each->disk, each->office ? each->office->state(local(each->number)) : "-");
+        for (const auto& what : each->to_store)
+            text += fmt::format("s{}.{}", what.records.size(), what.promise ? what.promise->voted.value : 0);
+        text += fmt::format("k{}.{}.{}|", each->kept.promise.reign.value, each->kept.promise.voted.value,
+                            each->kept.records.size());
+    }
+    for (const auto& each : members_) {
+        text += fmt::format("{}.{}.{}", each->life, each->up, each->under_way ? each->under_way->value : 0);
+        if (each->lessee) text += each->lessee->state(local(each->number));
+    }
+    return text + fmt::format("g{}", gate_.newest(kLease).value);
+}
+
+// --- The history of the register
+namespace {
+
+struct Object {  // the register, as one that sees it alone would
+    Fence fence;
+    bool standing = false;
+    // Whether what was seen fits here, and what it leaves.
+    bool fits(const Observed& seen, Object& after) const {
+        after = *this;
+        if (seen.fence < fence) return false;
+        after.fence = seen.fence;  // a grant in between need not have been seen
+        switch (seen.what) {
+            case Observed::granted:
+                return true;
+            case Observed::raised:
+                after.standing = true;
+                return !standing;
+            case Observed::not_raised:
+                return standing;
+            case Observed::cleared:
+                after.standing = false;
+                return standing;
+            case Observed::not_cleared:
+                return !standing;
+            default:
+                after.standing = seen.what == Observed::may_raise;
+                return true;
+        }
+    }
+};
+
+class Ordering {
+  public:
+    Ordering(std::vector<Observed> history, std::size_t most) : all_(std::move(history)), most_(most) {
+        std::erase_if(all_, [](auto& each) { return each.asked < 0; });
+        std::sort(all_.begin(), all_.end(), [](auto& a, auto& b) { return a.asked < b.asked; });
+        done_.resize(all_.size());
+    }
+    std::optional<bool> holds() {
+        const bool found = from({}, 0);
+        if (!found && work_ >= most_) return std::nullopt;
+        return found;
+    }
+
+  private:
+    // Wing and Gong's search: next may be whatever was asked before all that is left was answered; a state
+    // from which it failed is not tried again.
+    bool from(const Object& now, std::size_t begin) {
+        while (begin < all_.size() && done_[begin]) ++begin;
+        bool over = true;  // what has no answer need not have happened
+        for (std::size_t i = begin; i < all_.size() && over; ++i)
+            over = done_[i] || all_[i].answered == std::numeric_limits<double>::infinity();
+        if (over) return true;
+        if (++work_ >= most_) return false;
+        double answered = std::numeric_limits<double>::infinity();
+        std::vector<std::size_t> open;
+        for (std::size_t i = begin; i < all_.size() && all_[i].asked <= answered; ++i) {
+            if (done_[i]) continue;
+            open.push_back(i);
+            answered = std::min(answered, all_[i].answered);
+        }
+        std::string key = fmt::format("{}.{}.{}", begin, now.fence.value, now.standing);
+        for (std::size_t i = begin; i <= open.back(); ++i) key += done_[i] ? '1' : '0';
+        if (!failed_.insert(key).second) return false;
+        for (const std::size_t i : open) {
+            if (all_[i].asked > answered) continue;
+            Object after;
+            if (!now.fits(all_[i], after)) continue;
+            done_[i] = true;
+            if (from(after, begin)) return true;
+            done_[i] = false;
+        }
+        return false;
+    }
+    std::vector<Observed> all_;
+    std::vector<bool> done_;
+    std::set<std::string> failed_;
+    std::size_t most_, work_ = 0;
+};
+
+}  // namespace
+
+std::optional<bool> linearizable(std::vector<Observed> history, std::size_t work_most) {
+    return Ordering(std::move(history), work_most).holds();
+}
+
+}  // namespace tideline::simulated
--- /dev/null
+++ b/tools/council/world.hpp
@@ -0,0 +1,130 @@
+// Planners and members around the very cores that ship (office, lessee, gate), with disks that lose what was
+// not yet stored, clocks that run fast and slow, and a target that acts reach late. No sockets, no clock;
+// what is sent goes to whoever drives the world. A world can be copied, so that every order of what can
+// happen may be tried.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet.pb.h"
+#include "lease/gate.hpp"
+#include "lease/lessee.hpp"
+#include "planner/scribe.hpp"
+
+namespace tideline::simulated {
+
+using consensus::Peer;
+using lease::Fence;
+using lease::LeaseName;
+
+struct CouncilTerms {
+    int planners = 3, members = 2;
+    planner::OfficeTerms office;
+    lease::LesseeTerms lessee;
+    double drift = 0;         // planners' clocks run fast by it, members' slow: the worst that may be
+    bool any_planner = true;  // a member's question may reach any planner; else each asks one, then the next
+    std::uint32_t seed = 1;
+};
+
+// Nodes count from 0: the planners, then the members.
+struct Sent {
+    int from = 0, to = 0;  // to: -1, any planner
+    std::string bytes;     // a wire::Word
+    bool operator<(const Sent& other) const {
+        return std::tie(from, to, bytes) < std::tie(other.from, other.to, other.bytes);
+    }
+};
+
+// What a member saw of the register: for the check of its history.
+struct Observed {
+    enum What { granted, raised, not_raised, cleared, not_cleared, may_raise, may_clear } what = granted;
+    Fence fence;
+    double asked = 0, answered = 0;  // true time; infinite: no answer came, and it may have happened or not
+};
+
+class Council {
+  public:
+    explicit Council(const CouncilTerms& terms);
+    Council(const Council& other);
+    Council& operator=(const Council&) = delete;
+    ~Council();
+
+    // What can happen. True time is the driver's and never goes back.
+    void time_is(double now) { now_ = now; }
+    void deliver(const Sent& sent, int to);
+    void disk_done(int planner);  // all that was to be stored is
+    void tick(int node);          // whatever is due there
+    void stand(int planner);      // its election time is up
+    void beat(int planner);       // a leader speaks to all
+    void crash(int node);         // what was not stored is lost
+    void start(int node);
+    void wipe(int planner);               // while it is down: its disk is gone
+    void admit(int planner, int by);      // an operator's word at that leader
+    void take_away(int by);               // likewise
+    void want(int member, bool wanted);   // the lease
+    void guard(int member);               // asks its guard; if it may act, an act is under way
+    void act(int member);                 // what is under way reaches the target
+    void alarm(int member, bool raised);  // while it may act
+
+    // How it stands.
+    double now() const { return now_; }
+    int planners() const { return terms_.planners; }
+    int nodes() const { return terms_.planners + terms_.members; }
+    bool up(int node) const;
+    const planner::Office* office(int planner) const;
+    bool writes(int planner) const;  // something is to be stored
+    bool has_seat(int planner) const;
+    bool may_act(int member) const;
+    Fence fence_of(int member) const;
+    bool acts(int member) const;  // an act is under way
+    bool wants(int member) const;
+    double due(int node) const;  // in true time
+    std::string state() const;   // all that later steps depend on
+    // The first thing that did not hold; empty where all does. Looked at after each step.
+    const std::string& fault() const { return fault_; }
+    std::vector<Sent> take_sent() { return std::exchange(sent_, {}); }
+    const std::vector<Observed>& history() const { return history_; }
+    const CouncilTerms& terms() const { return terms_; }
+    std::uint64_t grants() const { return grants_; }    // holdings that a member came to
+    std::uint64_t acted() const { return acted_; }      // acts that took effect
+    std::uint64_t refused() const { return refused_; }  // acts that the gate refused
+    static const LeaseName kLease;
+
+  private:
+    class PlannerNode;
+    class MemberNode;
+    double local(int node) const;
+    void check();
+    void fail(const std::string& what);
+    void send(int from, int to, const wire::Word& word);
+    int planner_of(Peer peer) const;
+    Peer peer_of(int planner) const;
+    std::string name_of(int node) const;
+
+    CouncilTerms terms_;
+    double now_ = 0;
+    std::vector<std::unique_ptr<PlannerNode>> planners_;
+    std::vector<std::unique_ptr<MemberNode>> members_;
+    std::vector<Sent> sent_;
+    lease::Gate gate_;
+    std::string fault_;
+    // What was seen so far, by which later steps are judged.
+    std::map<consensus::Reign, Peer> leaders_;
+    std::map<consensus::LogIndex, std::string> chosen_;
+    std::map<consensus::LogIndex, std::string> came_to_;
+    std::map<Fence, std::string> holders_;
+    Fence highest_held_, last_act_;
+    std::vector<Observed> history_;
+    std::uint64_t grants_ = 0, acted_ = 0, refused_ = 0;
+};
+
+// Whether one order of all that was seen, each within its time, fits a register. nullopt: not decided within
+// the bound on work.
+std::optional<bool> linearizable(std::vector<Observed> history, std::size_t work_most);
+
+}  // namespace tideline::simulated
--- /dev/null
+++ b/tools/virtual/leases.cpp
@@ -0,0 +1,361 @@
+#include "virtual/leases.hpp"
+
+#include <fmt/format.h>
+
+#include <functional>
+#include <limits>
+#include <mutex>
+#include <queue>
+#include <random>
+
+#include "council/world.hpp"
+#include "virtual/seeds.hpp"
+
+namespace tideline::simulated {
+namespace {
+
+constexpr std::size_t kOrderingMost = 200000;  // steps of the search for one order of a history
+constexpr double kLength = 30, kQuiet = 40;    // s: of faults, and after all is healed
+
+CouncilTerms usual(int planners, int members, std::uint32_t seed) {
+    CouncilTerms terms;
+    terms.planners = planners, terms.members = members, terms.seed = seed;
+    terms.any_planner = false;
+    terms.drift = 0.01;
+    terms.office.leases = {3, 0.01, 0.5, 6};
+    terms.office.keep = 40;  // snapshots and their transfer come up all the time
+    terms.lessee = {0.3, 1.0, 1.0};
+    return terms;
+}
+
+// Moves a world on in true time: messages with their ways, disks, acts, and nodes that stand still.
+class Driver {
+  public:
+    Driver(const CouncilTerms& terms, std::uint32_t seed)
+        : world(terms),
+          chance_(seed ^ 0x1ea5e),
+          stopped_(static_cast<std::size_t>(world.nodes()), false),
+          delays_(stopped_.size(), 0),
+          waiting_(stopped_.size()) {
+        collect();
+    }
+    double draw(double from, double to) {
+        return from +
+               (to - from) * static_cast<double>(chance_()) / (1.0 + static_cast<double>(chance_.max()));
+    }
+    int draw_below(int count) { return static_cast<int>(draw(0, count)); }
+    void at(double when, std::function<void()> call) { steps_.push({when, ++order_, std::move(call)}); }
+    void run(double until) {
+        while (world.fault().empty()) {
+            int node = -1;
+            double due = std::numeric_limits<double>::infinity();
+            for (int i = 0; i < world.nodes(); ++i)
+                if (!stopped_[static_cast<std::size_t>(i)] && world.due(i) < due)
+                    due = world.due(i), node = i;
+            const double next = steps_.empty() ? std::numeric_limits<double>::infinity() : steps_.top().at;
+            if (std::min(due, next) > until) break;
+            if (next <= due) {
+                const auto call = steps_.top().call;
+                now_ = std::max(now_, next);
+                steps_.pop();
+                world.time_is(now_);
+                call();
+            } else {
+                now_ = std::max(now_ + 1e-9, due);
+                world.time_is(now_);
+                world.tick(node);
+            }
+            ++steps;
+            collect();
+        }
+        if (!world.fault().empty()) return;
+        now_ = std::max(now_, until);
+        world.time_is(now_);
+    }
+    double now() const { return now_; }
+
+    void stop(int node, bool stopped) {
+        const auto at_node = static_cast<std::size_t>(node);
+        if (stopped_[at_node] == stopped) return;
+        stopped_[at_node] = stopped;
+        if (stopped) return;
+        // It reads what came meanwhile before it looks at what is due.
+        for (auto& call : std::exchange(waiting_[at_node], {})) call();
+        collect();
+    }
+    void kill(int node) {
+        world.crash(node);
+        stopped_[static_cast<std::size_t>(node)] = false;
+        waiting_[static_cast<std::size_t>(node)].clear();
+    }
+    void cut(int from, int to, bool is_cut) {
+        if (is_cut)
+            cuts_.insert({from, to});
+        else
+            cuts_.erase({from, to});
+    }
+    void heal() { cuts_.clear(); }
+    void delay(int node, double by) { delays_[static_cast<std::size_t>(node)] = by; }
+    int leader() const {
+        for (int i = 0; i < world.planners(); ++i)
+            if (world.office(i) && world.office(i)->serves()) return i;
+        return -1;
+    }
+    int holder() const {
+        for (int i = world.planners(); i < world.nodes(); ++i)
+            if (world.may_act(i)) return i;
+        return -1;
+    }
+    bool stopped(int node) const { return stopped_[static_cast<std::size_t>(node)]; }
+
+    Council world;
+    double act_delay = 0;  // most between guard and act; 0: at once
+    std::uint64_t steps = 0, messages = 0;
+
+  private:
+    struct Step {
+        double at;
+        std::uint64_t order;
+        std::function<void()> call;
+        bool operator>(const Step& other) const {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+    // Once the node is awake.
+    void hand(int node, std::function<void()> call) {
+        if (stopped_[static_cast<std::size_t>(node)])
+            waiting_[static_cast<std::size_t>(node)].push_back(std::move(call));
+        else
+            call();
+    }
+    void collect() {
+        for (Sent& sent : world.take_sent()) {
+            ++messages;
+            const int to = sent.to;
+            const double way = draw(0.0002, 0.002) + delays_[static_cast<std::size_t>(sent.from)] +
+                               delays_[static_cast<std::size_t>(to)];
+            // What is cut is mostly lost; the rest is held on the way and comes late.
+            if (cuts_.contains({sent.from, to}) && draw(0, 1) < 0.7) continue;
+            const double late = cuts_.contains({sent.from, to}) ? draw(0.5, 8) : 0;
+            at(now_ + way + late, [this, sent = std::move(sent), to] {
+                hand(to, [this, sent, to] { world.deliver(sent, to); });
+            });
+        }
+        for (int i = 0; i < world.planners(); ++i) {
+            if (!world.writes(i) || writing_.contains(i)) continue;
+            writing_.insert(i);
+            at(now_ + draw(0.0003, 0.004), [this, i] {
+                writing_.erase(i);
+                hand(i, [this, i] { world.disk_done(i); });
+            });
+        }
+    }
+    std::ranlux24_base chance_;
+    double now_ = 100;
+    std::priority_queue<Step, std::vector<Step>, std::greater<>> steps_;
+    std::uint64_t order_ = 0;
+    std::vector<bool> stopped_;
+    std::vector<double> delays_;
+    std::vector<std::vector<std::function<void()>>> waiting_;
+    std::set<std::pair<int, int>> cuts_;
+    std::set<int> writing_;
+};
+
+struct Outcome {
+    std::string fault;
+    std::uint64_t steps = 0, grants = 0, acted = 0, refused = 0;
+    bool undecided = false;
+};
+
+Outcome check_one(std::uint32_t seed, int planners, int members, bool verbose) {
+    Driver run(usual(planners, members, seed), seed);
+    Council& world = run.world;
+    const double start = run.now();
+    const auto tell = [&](const std::string& what) {
+        if (verbose) fmt::print("{:8.3f} {}\n", run.now() - start, what);
+    };
+    int replaced = -1;  // a planner whose disk was lost and that has no seat yet
+    const auto member = [&] { return planners + run.draw_below(members); };
+    const auto later = [&](double when, std::string what, std::function<void()> call) {
+        run.at(when, [&, what = std::move(what), call = std::move(call)] {
+            tell(what);
+            call();
+        });
+    };
+    const auto readmit = [&](auto self) -> void {
+        if (replaced < 0) return;
+        if (world.has_seat(replaced)) {
+            tell(fmt::format("p{} has its seat again", replaced + 1));
+            replaced = -1;
+            return;
+        }
+        if (const int by = run.leader(); by >= 0 && !run.stopped(by)) world.admit(replaced, by);
+        run.at(run.now() + 0.5, [&, self] { self(self); });
+    };
+    // All that happens to it, at drawn times.
+    const std::function<void()> mishap = [&] {
+        if (run.now() > start + kLength) return;
+        const double until = run.now() + run.draw(0.1, 6);
+        const int planner = run.draw_below(planners), one = run.draw_below(world.nodes()),
+                  other = run.draw_below(world.nodes()), who = member();
+        switch (run.draw_below(13)) {
+            case 0:
+            case 1:
+                if (planner == replaced) break;
+                tell(fmt::format("kill p{}", planner + 1));
+                run.kill(planner);
+                later(until, fmt::format("start p{}", planner + 1), [&, planner] { world.start(planner); });
+                break;
+            case 2: {
+                const int leads = run.leader();
+                if (leads < 0) break;
+                tell(fmt::format("stop the leader p{}", leads + 1));
+                run.stop(leads, true);
+                later(until, fmt::format("go p{}", leads + 1), [&, leads] { run.stop(leads, false); });
+                break;
+            }
+            case 3: {
+                const int holds = run.holder();
+                if (holds < 0) break;
+                tell(fmt::format("stop the holder m{}", holds));
+                run.stop(holds, true);
+                later(until, fmt::format("go m{}", holds), [&, holds] { run.stop(holds, false); });
+                break;
+            }
+            case 4:
+                tell(fmt::format("cut {} {}", one, other));
+                run.cut(one, other, true);
+                later(until, fmt::format("heal {} {}", one, other),
+                      [&, one, other] { run.cut(one, other, false); });
+                break;
+            case 5: {
+                std::vector<bool> side(static_cast<std::size_t>(world.nodes()));
+                for (std::size_t i = 0; i < side.size(); ++i) side[i] = run.draw(0, 1) < 0.4;
+                tell("split");
+                for (int a = 0; a < world.nodes(); ++a)
+                    for (int b = 0; b < world.nodes(); ++b)
+                        if (side[static_cast<std::size_t>(a)] != side[static_cast<std::size_t>(b)])
+                            run.cut(a, b, true);
+                later(until, "heal", [&] { run.heal(); });
+                break;
+            }
+            case 6:
+                tell(fmt::format("slow {}", one));
+                run.delay(one, run.draw(0.1, 3));
+                later(until, fmt::format("no longer slow {}", one), [&, one] { run.delay(one, 0); });
+                break;
+            case 7:
+                tell(fmt::format("kill m{}", who));
+                run.kill(who);
+                later(until, fmt::format("start m{}", who), [&, who] { world.start(who); });
+                break;
+            case 8:
+                // Hand-overs right behind each other.
+                tell("hand over, twice within a second");
+                for (const double after : {0.0, run.draw(0.05, 0.5)})
+                    run.at(run.now() + after, [&] {
+                        const int holds = run.holder();
+                        if (holds < 0) return;
+                        world.want(holds, false);
+                        run.at(run.now() + run.draw(0.1, 3), [&, holds] { world.want(holds, true); });
+                    });
+                break;
+            case 9:
+                if (replaced >= 0 || planner == run.leader()) break;
+                tell(fmt::format("wipe p{}", planner + 1));
+                run.kill(planner);
+                world.wipe(planner);
+                replaced = planner;
+                later(run.now() + run.draw(0.1, 2), fmt::format("start p{} on an empty disk", planner + 1),
+                      [&, planner, readmit] {
+                          world.start(planner);
+                          readmit(readmit);
+                      });
+                break;
+            case 10:
+                if (const int by = run.leader(); by >= 0) tell("take away"), world.take_away(by);
+                break;
+            case 11:
+                tell(fmt::format("m{} {}", who, world.wants(who) ? "wants it no more" : "wants it"));
+                world.want(who, !world.wants(who));
+                break;
+            default:
+                // The majority itself, one after the other.
+                tell("restart of all planners, one by one");
+                for (int i = 0; i < planners; ++i)
+                    run.at(run.now() + 0.7 * i, [&, i] {
+                        if (i == replaced) return;
+                        run.kill(i);
+                        run.at(run.now() + 0.3, [&, i] { world.start(i); });
+                    });
+        }
+        run.at(run.now() + run.draw(0.1, 2.5), mishap);
+    };
+    // Members ask their guard now and then, and act at once or late: stopped in between, as it were.
+    const std::function<void()> acts = [&] {
+        const int holds = run.holder();
+        if (holds >= 0 && !run.stopped(holds) && !world.acts(holds)) {
+            world.guard(holds);
+            const double after = run.draw(0, 1) < 0.1 ? run.draw(0, 10) : run.draw(0, 0.01);
+            run.at(run.now() + after, [&, holds] { world.act(holds); });
+            if (run.draw(0, 1) < 0.3) world.alarm(holds, run.draw(0, 1) < 0.5);
+        }
+        run.at(run.now() + run.draw(0.02, 0.3), acts);
+    };
+    for (int i = planners; i < world.nodes(); ++i)
+        if (run.draw(0, 1) < 0.7) world.want(i, true);
+    run.at(start + 2, mishap);
+    run.at(start + 0.5, acts);
+    run.run(start + kLength);
+    run.heal();
+    for (int i = 0; i < world.nodes(); ++i) run.delay(i, 0), run.stop(i, false), world.start(i);
+    for (int i = planners; i < world.nodes(); ++i)
+        if (!world.wants(i)) world.want(i, true);
+    run.run(start + kLength + kQuiet);
+    Outcome outcome{world.fault(), run.steps, world.grants(), world.acted(), world.refused(), false};
+    if (!outcome.fault.empty()) {
+        outcome.fault = fmt::format("at {:.3f} s: {}", run.now() - start, outcome.fault);
+        return outcome;
+    }
+    // With nobody's help a lease has a holder again, and all planners have what is committed.
+    if (run.holder() < 0) outcome.fault = fmt::format("{} s after all was healed nobody holds it", kQuiet);
+    run.run(run.now() + 1);
+    for (int i = 0; i < planners; ++i)
+        if (!world.has_seat(i) && outcome.fault.empty())
+            outcome.fault = fmt::format("p{} has no seat at the end", i + 1);
+    const auto fits = linearizable(world.history(), kOrderingMost);
+    outcome.undecided = !fits;
+    if (fits && !*fits) outcome.fault = "no order of what was seen fits a register";
+    return outcome;
+}
+
+}  // namespace
+
+int check_leases(std::uint32_t first, int seeds, int planners, int members, bool verbose) {
+    std::mutex lock;
+    int faults = 0, undecided = 0;
+    std::uint64_t steps = 0, grants = 0, acted = 0, refused = 0;
+    each_seed(first, seeds, [&](std::uint32_t seed) {
+        const Outcome one = check_one(seed, planners, members, verbose);
+        const std::lock_guard guard(lock);
+        steps += one.steps, grants += one.grants, acted += one.acted, refused += one.refused;
+        undecided += one.undecided;
+        if (one.fault.empty()) return;
+        ++faults;
+        fmt::print("seed {}: {}\n", seed, one.fault);
+    });
+    fmt::print(
+        "leases: {} seeds from {}, {} planners, {} members, {:.0f} s of faults each (virtual time), {} "
+        "steps, "
+        "{} holdings, {} acts, {} refused by their fence, {} histories not decided: {}\n",
+        seeds, first, planners, members, kLength, steps, grants, acted, refused, undecided,
+        faults ? fmt::format("{} with faults", faults) : "all hold");
+    return faults ? 1 : 0;
+}
+
+void measure_leases(int seeds, const std::vector<int>& waiting) {
+    static_cast<void>(seeds);
+    static_cast<void>(waiting);
+}
+
+}  // namespace tideline::simulated
--- a/tools/virtual/main.cpp
+++ b/tools/virtual/main.cpp
@@ -5,12 +5,12 @@
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
-#include <atomic>
 #include <cmath>
 #include <mutex>
-#include <thread>
 
 #include "virtual/fleet.hpp"
+#include "virtual/leases.hpp"
+#include "virtual/seeds.hpp"
 
 namespace {
 
@@ -18,18 +18,6 @@
 using namespace tideline::simulated;
 using audit::Subject;
 
-// Runs the seeds on all cores; each seed's run is its own.
-template <class Call>
-void each_seed(std::uint32_t first, int seeds, Call call) {
-    std::atomic<int> next{0};
-    std::vector<std::thread> threads;
-    for (unsigned i = 0; i < std::max(1u, std::thread::hardware_concurrency()); ++i)
-        threads.emplace_back([&] {
-            for (int k = next++; k < seeds; k = next++) call(first + static_cast<std::uint32_t>(k));
-        });
-    for (auto& thread : threads) thread.join();
-}
-
 // --- Check
 // One seed: faults at random for a while, all healed, then a quiet end. The first thing that did not hold.
 std::string check_one(std::uint32_t seed, int members) {
@@ -168,18 +156,6 @@
 }
 
 // --- Measure
-struct Spread {
-    std::vector<double> values;
-    std::string text() {
-        if (values.empty()) return "-";
-        std::sort(values.begin(), values.end());
-        const auto at = [&](double part) {
-            return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
-        };
-        return fmt::format("{:.1f} ({:.1f})", at(0.5), values.back());
-    }
-};
-
 void measure_fleet(int members, int seeds) {
     Spread messages, bytes, death, back, lossy, lossy_gone, slow, slow_gone;
     std::mutex lock;
@@ -340,7 +316,25 @@
     measures->add_option("--seeds", seeds, "how many")->capture_default_str();
     measures->add_flag("--mesh-only", mesh_only, "the baseline alone");
     measures->add_option("--sizes", sizes, "members")->capture_default_str();
+    int planners = 5, holders = 20;
+    bool verbose = false;
+    CLI::App* leases =
+        app.add_subcommand("leases", "planners and members: seeded faults, checked after every step");
+    leases->add_option("--seed", seed, "the first")->capture_default_str();
+    leases->add_option("--seeds", seeds, "how many")->capture_default_str();
+    leases->add_option("--planners", planners, "how many")->check(CLI::Range(1, 9))->capture_default_str();
+    leases->add_option("--members", holders, "how many")->check(CLI::Range(2, 1000))->capture_default_str();
+    leases->add_flag("--verbose", verbose, "what happens, for one seed");
+    std::vector<int> waiting{10, 100, 1000};
+    CLI::App* gaps = app.add_subcommand("gaps", "how long a lease is without a holder, and by how many wait");
+    gaps->add_option("--seeds", seeds, "how many")->capture_default_str();
+    gaps->add_option("--waiting", waiting, "members that wait")->capture_default_str();
     CLI11_PARSE(app, argc, argv);
+    if (leases->parsed()) return check_leases(seed, seeds, planners, holders, verbose);
+    if (gaps->parsed()) {
+        measure_leases(seeds, waiting);
+        return 0;
+    }
     if (checks->parsed()) return check(seed, seeds, members);
     fmt::print(
         "median (worst) of {} seeds, period 1 s, virtual time; wrong: about members that live, per member "
