--- /dev/null
+++ b/src/audit/rollcall.cpp
@@ -0,0 +1,62 @@
+#include "audit/rollcall.hpp"
+
+#include <limits>
+
+namespace tideline::audit {
+namespace {
+
+constexpr int kUnreachableCalls = 2;  // in a row: one answer that was late is no alarm
+
+}  // namespace
+
+void RollCall::held(Seconds now, std::optional<std::set<std::string>> standing) {
+    holds_ = true;
+    next_ = now;
+    standing_ = std::move(standing);
+    seen_.clear();
+}
+void RollCall::lost() {
+    holds_ = false;
+    standing_.reset();
+}
+void RollCall::standing(const std::set<std::string>& keys) {
+    if (holds_) standing_ = keys;
+}
+Seconds RollCall::due() const { return holds_ ? next_ : std::numeric_limits<double>::infinity(); }
+void RollCall::tick(Seconds now) {
+    if (!holds_ || now < next_) return;
+    next_ = now + every_;
+    ++calls_;
+    host_.gather();
+}
+void RollCall::gathered(Seconds, const std::vector<Called>& rows) {
+    // Danger: without knowing what stands, a new holder would leave the alarms of the one before for ever.
+    if (!holds_ || !standing_) return;
+    std::map<std::string, std::string> wanted;
+    for (const Called& each : rows) {
+        const std::string& name = each.name.value;
+        if (each.state == "straggler" || each.state == "shut out")
+            wanted[each.state + " " + name] = name + " is a straggler (" + each.state + ")";
+        if (each.state == "unreachable") wanted["unreachable " + name] = name + " does not answer";
+        if (each.state == "gone") wanted["gone " + name] = name + " is gone";
+        if (!each.fault.empty()) wanted["history " + name] = name + ": " + each.fault;
+    }
+    std::erase_if(seen_, [&](auto& each) { return !wanted.contains(each.first); });
+    for (const auto& [key, text] : wanted) {
+        const int calls = ++seen_[key];
+        if (standing_->contains(key) || (key.starts_with("unreachable") && calls < kUnreachableCalls))
+            continue;
+        host_.raise(key, text);
+    }
+    for (const std::string& key : *standing_)
+        if (!wanted.contains(key)) host_.clear(key);
+}
+void RollCall::settled(const std::string& key, bool raised) {
+    if (!standing_) return;
+    if (raised)
+        standing_->insert(key);
+    else
+        standing_->erase(key);
+}
+
+}  // namespace tideline::audit
--- /dev/null
+++ b/src/audit/rollcall.hpp
@@ -0,0 +1,55 @@
+// The roll call: one member, under a lease, gathers the audit of all and raises the alarms, once for the
+// fleet. No I/O, no clock.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet/names.hpp"
+
+namespace tideline::audit {
+
+class RollCallHost {
+  public:
+    virtual ~RollCallHost() = default;
+    virtual void gather() = 0;  // asks all members; told by gathered()
+    // To the planners, who keep what stands for the whole fleet; told by settled().
+    virtual void raise(const std::string& key, const std::string& text) = 0;
+    virtual void clear(const std::string& key) = 0;
+};
+
+// What was gathered of one member.
+struct Called {
+    fleet::Name name;
+    std::string state;  // as the audit has it: current, behind, straggler, shut out, unreachable, gone, left
+    std::string fault;  // of its history
+};
+
+class RollCall {
+  public:
+    RollCall(RollCallHost& host, Seconds every) : host_(host), every_(every) {}
+
+    void held(Seconds now, std::optional<std::set<std::string>> standing);  // the alarms that stand, if known
+    void lost();
+    void standing(const std::set<std::string>& keys);
+    bool knows_standing() const { return standing_.has_value(); }
+    void gathered(Seconds now, const std::vector<Called>& rows);
+    void settled(const std::string& key, bool raised);  // it stands, or does not any more
+    void tick(Seconds now);
+    Seconds due() const;
+    std::uint64_t calls() const { return calls_; }
+
+  private:
+    RollCallHost& host_;
+    Seconds every_;
+    bool holds_ = false;
+    Seconds next_ = 0;
+    std::optional<std::set<std::string>> standing_;
+    std::map<std::string, int> seen_;  // calls in a row in which it was so
+    std::uint64_t calls_ = 0;
+};
+
+}  // namespace tideline::audit
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -123,6 +123,8 @@
     Seconds rest_until = kNever, rest_for = 0;
     bool proving = false, probed = false;  // back from a rest: one dispatch until it answers
     Stretch sent;                          // sent here, for the cold guard
+    double pace = 0;                       // of those in a window, dealt out by another for all
+    Seconds paced_until = kNever;
     Drawn drawn;
 };
 
@@ -329,6 +331,17 @@
         return sent + 1 <= multiple * capacity(pod) * *ways.even + part;
     }
 
+    // Dealt out for all sidecars; with no word, or an old one, this one is on its own.
+    bool in_pace(const Pod& pod) const {
+        return now >= pod.paced_until || pod.sent.since(now - fall_window) + 1 <= pod.pace;
+    }
+    void told_pace(const PodId& id, double most, Seconds valid) {
+        const auto pod = pods.find(id);
+        if (pod == pods.end()) return;
+        pod->second.pace = most, pod->second.paced_until = now + valid;
+        serve_waiting();
+    }
+
     // --- Rule 2: no effect twice ------------------------------------------------------------------------
     bool may_repeat_at(const Invocation& inv, const PodLine& pod) const {
         const Cover& cover = covers[inv.op.value];
@@ -378,7 +391,8 @@
             const bool free = !goes_back_on_key(inv, pod.line.build) && may_expose(inv, pod.line.build);
             way = ways.open.emplace(pod.line.build, free).first;
         }
-        return way->second && (!cold(pod) || has_room(pod, kColdSafety * fall_multiple, ways));
+        return way->second &&
+               (!cold(pod) || (in_pace(pod) && has_room(pod, kColdSafety * fall_multiple, ways)));
     }
 
     // The build on trial first, as long as its cap has room; else the earlier build. Among pods the cheapest,
@@ -998,6 +1012,9 @@
 }
 void Choice::vote_answered(Seconds now, VoteReply reply) { at(now).vote_told(reply); }
 void Choice::stand_told(Seconds now, Stand stand) { at(now).told_stand(stand); }
+void Choice::pace_told(Seconds now, const PodId& pod, double most, Seconds valid) {
+    at(now).told_pace(pod, most, valid);
+}
 void Choice::alarm_rang(Seconds now, AlarmId alarm) { at(now).beat(alarm); }
 
 }  // namespace tideline
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -50,6 +50,9 @@
     void vote_answered(Seconds now, VoteReply reply);
     // Only ever makes it more careful: trial dispatches end as if the cap had fallen, and no vote goes on.
     void stand_told(Seconds now, Stand stand);
+    // What this sidecar may send to a cold pod in the window of the rule, for a while, by whoever deals that
+    // out for all. It comes on top of the own rule, never in its place.
+    void pace_told(Seconds now, const PodId& pod, double most, Seconds valid);
     void alarm_rang(Seconds now, AlarmId alarm);
 
   private:
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -47,6 +47,13 @@
     Due::Key again_ = Due::kNone;
 };
 
+warming::PaceTerms pace_terms(const Slip& slip) {
+    warming::PaceTerms terms;
+    terms.window = slip.need("rules.fall_window"), terms.multiple = slip.need("rules.fall_multiple");
+    terms.cold_share = slip.need("rules.cold_share"), terms.warm_within = slip.need("rules.warm_within");
+    return terms;
+}
+
 }  // namespace
 
 int serve(const ServeWish& wish) {
@@ -59,7 +66,7 @@
     std::unique_ptr<fleet::Fellow> fellow;
     if (!wish.fleet.empty())
         fellow = std::make_unique<fleet::Fellow>(loop, log, fleet::treaty_of(wish.fleet),
-                                                 fleet::digest_of(slip.text), slip.seed);
+                                                 fleet::digest_of(slip.text), pace_terms(slip), slip.seed);
     Sidecar sidecar(loop, log, slip, fellow.get());
     if (fellow) fellow->begin(sidecar);
     Reading reading(loop, log, sidecar, fellow.get(), wish);
--- /dev/null
+++ b/src/fleet/duties.cpp
@@ -0,0 +1,144 @@
+#include "fleet/duties.hpp"
+
+#include <limits>
+
+namespace tideline::fleet {
+namespace {
+
+const lease::LeaseName kRollCall{"roll-call"}, kWarming{"warming"};
+
+warming::PaceTerms with(warming::PaceTerms terms, Seconds every) {
+    terms.every = every;
+    return terms;
+}
+
+}  // namespace
+
+Duties::Duties(net::Loop& loop, net::Log& log, Owner& owner, const Treaty& treaty, const Life& life,
+               const warming::PaceTerms& terms)
+    : loop_(loop),
+      log_(log),
+      owner_(owner),
+      self_(treaty.name),
+      calls_(treaty.roll_call > 0),
+      warms_(treaty.warming > 0),
+      window_(terms.window),
+      tenant_(loop, log, *this, treaty.planners, treaty.lessee, treaty.address, {treaty.name, life}),
+      roll_call_(*this, treaty.roll_call),
+      pace_(*this, with(terms, treaty.warming)) {}
+Duties::~Duties() { loop_.due.cancel(ring_); }
+
+void Duties::begin() {
+    if (calls_) tenant_.want(kRollCall);
+    if (warms_) tenant_.want(kWarming);
+    ring();
+}
+void Duties::leave() { tenant_.give_back_all(); }
+
+void Duties::lease_held(const lease::LeaseName& lease, lease::Fence fence) {
+    // Held and lost again before this pass ended, it is not held.
+    if (tenant_.may_act(lease) != fence) return;
+    const Seconds now = net::clock_now();
+    if (lease == kRollCall) {
+        roll_call_.held(now, std::nullopt);
+        tenant_.ask_standing(kRollCall);
+    } else if (lease == kWarming) {
+        pace_.held(now);
+    }
+    ring();
+}
+void Duties::lease_lost(const lease::LeaseName& lease, lease::Fence) {
+    if (tenant_.may_act(lease)) return;  // it is held again already
+    if (lease == kRollCall) roll_call_.lost();
+    if (lease == kWarming) pace_.lost();
+    ring();
+}
+
+// --- The roll call
+void Duties::gather() {
+    if (!tenant_.may_act(kRollCall)) return;
+    owner_.gather_audit();
+}
+void Duties::gathered(const std::vector<wire::Row>& rows) {
+    std::vector<audit::Called> called;
+    for (const wire::Row& row : rows) called.push_back({Name{row.entry().name()}, row.state(), row.fault()});
+    if (!roll_call_.knows_standing()) tenant_.ask_standing(kRollCall);
+    roll_call_.gathered(net::clock_now(), called);
+    ring();
+}
+void Duties::raise(const std::string& key, const std::string& text) {
+    texts_[key] = text;
+    tenant_.alarm(kRollCall, true, key, text);
+}
+void Duties::clear(const std::string& key) { tenant_.alarm(kRollCall, false, key, {}); }
+void Duties::alarm_settled(const lease::LeaseName&, const std::string& key, bool raised, bool changed) {
+    roll_call_.settled(key, raised);
+    // Only who changed it says so: once for the fleet, whoever calls the roll next.
+    if (raised && changed) log_.alarm("roll call: {}", texts_[key]);
+    if (!raised && changed) log_.line("roll call: over: {}", key);
+    if (!raised) texts_.erase(key);
+}
+void Duties::standing(const lease::LeaseName&, const std::set<std::string>& keys) {
+    roll_call_.standing(keys);
+}
+
+// --- Warming
+void Duties::pod_listed(const PodId& pod, bool ready, Seconds started) {
+    if (ready && started > 0)
+        pace_.pod_started(pod, started);
+    else
+        pace_.pod_gone(pod);
+}
+void Duties::ready_pods(std::size_t count) {
+    pace_.ready_pods(count);
+    ring();
+}
+void Duties::dispatched() { sent_.add(net::clock_now(), window_); }
+double Duties::sent_of_late() const { return sent_.since(net::clock_now() - window_); }
+void Duties::give(const Name& member, const PodId& pod, double most, Seconds valid) {
+    if (member == self_) return owner_.pace(pod, most, valid);
+    wire::PodPace& one = *dealt_[member].add_pods();
+    one.set_pod(pod.value), one.set_most(most), one.set_valid(valid);
+}
+void Duties::deal() {
+    const Seconds now = net::clock_now();
+    pace_.sent(now, self_, sent_of_late());
+    pace_.tick(now);
+    // Right before the act, with its fence. Who has no share yet is asked what it sends.
+    const auto fence = tenant_.may_act(kWarming);
+    if (fence)
+        for (const Name& each : owner_.here()) {
+            wire::Paces& paces = dealt_[each];
+            paces.set_fence(fence->value);
+            owner_.say_paces(each, paces);
+        }
+    dealt_.clear();
+}
+bool Duties::paces_told(const Name&, const wire::Paces& paces) {
+    if (!gate_.passes(kWarming, lease::Fence{paces.fence()})) {
+        log_.line("leases: paces under fence {} refused, {} was seen", paces.fence(),
+                  gate_.newest(kWarming).value);
+        return false;
+    }
+    for (const wire::PodPace& each : paces.pods())
+        if (each.most() >= 0 && each.valid() >= 0) owner_.pace(PodId{each.pod()}, each.most(), each.valid());
+    return true;
+}
+void Duties::sent_told(const Name& by, double in_window) {
+    if (in_window >= 0) pace_.sent(net::clock_now(), by, in_window);
+}
+
+void Duties::ring() {
+    loop_.due.cancel(ring_);
+    const Seconds at = std::min(roll_call_.due(), pace_.due());
+    if (at == std::numeric_limits<double>::infinity()) return;
+    ring_ = loop_.due.at(at, [this] {
+        ring_ = net::Due::kNone;
+        const Seconds now = net::clock_now();
+        roll_call_.tick(now);
+        if (now >= pace_.due()) deal();
+        ring();
+    });
+}
+
+}  // namespace tideline::fleet
--- /dev/null
+++ b/src/fleet/duties.hpp
@@ -0,0 +1,72 @@
+// What a member does for all while it holds the lease of it: the roll call, and the pace at which fresh pods
+// are warmed; and what it takes from the one that does. Joins the cores to the planners and to the fleet;
+// decides nothing itself.
+#pragma once
+
+#include "audit/rollcall.hpp"
+#include "fleet/tenant.hpp"
+#include "fleet/treaty.hpp"
+#include "lease/gate.hpp"
+#include "samples.hpp"
+#include "warming/pace.hpp"
+
+namespace tideline::fleet {
+
+class Duties : Tenant::Owner, audit::RollCallHost, warming::PaceHost {
+  public:
+    class Owner {
+      public:
+        virtual ~Owner() = default;
+        virtual void gather_audit() = 0;             // told by gathered()
+        virtual std::vector<Name> here() const = 0;  // the others that are present
+        virtual void say_paces(const Name& to, const wire::Paces& paces) = 0;
+        virtual void pace(const PodId& pod, double most, Seconds valid) = 0;  // of this member itself
+    };
+    Duties(net::Loop& loop, net::Log& log, Owner& owner, const Treaty& treaty, const Life& life,
+           const warming::PaceTerms& terms);
+    ~Duties() override;
+    void begin();
+    void leave();
+    void pod_listed(const PodId& pod, bool ready, Seconds started);
+    void ready_pods(std::size_t count);
+    void dispatched();  // one, by this member
+    void gathered(const std::vector<wire::Row>& rows);
+    // From the one that holds the lease. False where an older fence asks; else this member's answer is owed.
+    bool paces_told(const Name& by, const wire::Paces& paces);
+    double sent_of_late() const;
+    void sent_told(const Name& by, double in_window);
+
+  private:
+    // Tenant::Owner
+    void lease_held(const lease::LeaseName& lease, lease::Fence fence) override;
+    void lease_lost(const lease::LeaseName& lease, lease::Fence fence) override;
+    void alarm_settled(const lease::LeaseName& lease, const std::string& key, bool raised,
+                       bool changed) override;
+    void standing(const lease::LeaseName& lease, const std::set<std::string>& keys) override;
+    // audit::RollCallHost
+    void gather() override;
+    void raise(const std::string& key, const std::string& text) override;
+    void clear(const std::string& key) override;
+    // warming::PaceHost
+    void give(const Name& member, const PodId& pod, double most, Seconds valid) override;
+
+    void deal();
+    void ring();
+
+    net::Loop& loop_;
+    net::Log& log_;
+    Owner& owner_;
+    const Name self_;
+    const bool calls_, warms_;
+    const Seconds window_;
+    Tenant tenant_;
+    audit::RollCall roll_call_;
+    warming::Pace pace_;
+    lease::Gate gate_;
+    std::map<Name, wire::Paces> dealt_;  // to be sent, once the deal is done
+    std::map<std::string, std::string> texts_;
+    Stretch sent_;
+    net::Due::Key ring_ = net::Due::kNone;
+};
+
+}  // namespace tideline::fleet
--- a/src/fleet/fellow.cpp
+++ b/src/fleet/fellow.cpp
@@ -61,7 +61,7 @@
 }  // namespace
 
 Fellow::Fellow(net::Loop& loop, net::Log& log, const Treaty& treaty, const std::string& told,
-               std::uint64_t seed)
+               const warming::PaceTerms& pace, std::uint64_t seed)
     : loop_(loop),
       log_(log),
       treaty_(treaty),
@@ -87,6 +87,9 @@
     if (!parley_.listen(*net::address_of(treaty.listen)))
         throw std::runtime_error("can't listen at " + treaty.listen + " for the fleet");
     if (!archive_.found().empty()) log_.alarm("fleet: {}", archive_.found());
+    if (treaty.planners.empty()) return;
+    Duties::Owner& owner = *this;
+    duties_ = std::make_unique<Duties>(loop, log, owner, treaty, archive_.life(), pace);
 }
 Fellow::~Fellow() {
     loop_.due.cancel(ring_);
@@ -99,13 +102,16 @@
     acts();
     ring();
     review();
+    if (duties_) duties_->begin();
     log_.line("fleet: member {} at {}, life {}{}, {} seeds", treaty_.name.value, treaty_.address,
               archive_.life().value, archive_.disk().value ? "" : ", no folder", treaty_.seeds.size());
 }
 void Fellow::take_up(const Treaty& fresh) {
     const bool fixed = fresh.name != treaty_.name || fresh.listen != treaty_.listen ||
                        fresh.address != treaty_.address || fresh.folder != treaty_.folder ||
-                       fresh.place != treaty_.place || fresh.epochs != treaty_.epochs;
+                       fresh.place != treaty_.place || fresh.epochs != treaty_.epochs ||
+                       fresh.planners != treaty_.planners || fresh.roll_call != treaty_.roll_call ||
+                       fresh.warming != treaty_.warming;
     roll_.take_up(fresh.roll, fresh.seeds);
     currency_.take_up(fresh.currency);
     parley_.bound({fresh.links, fresh.frame});
@@ -113,9 +119,10 @@
     treaty_ = fresh;
     acts();
     log_.line("fleet: new operator file taken up{}",
-              fixed ? "; member, place, addresses, folder and epochs wait for a restart" : "");
+              fixed ? "; member, place, addresses, folder, epochs and planners wait for a restart" : "");
 }
 void Fellow::leave() {
+    if (duties_) duties_->leave();
     ledger_.seal(net::clock_now());
     roll_.leave(net::clock_now());
 }
@@ -126,7 +133,11 @@
 }
 void Fellow::list_told(std::int64_t revision, ListKind kind, const std::vector<PodLine>& lines,
                        const std::vector<net::Address>& addresses) {
-    if (kind != ListKind::changes) pods_.clear();
+    if (kind != ListKind::changes) {
+        if (duties_)
+            for (const auto& [id, pod] : pods_) duties_->pod_listed(id, false, 0);
+        pods_.clear();
+    }
     std::uint64_t drains = 0;
     for (std::size_t i = 0; i < lines.size(); ++i) {
         const auto it = pods_.find(lines[i].pod);
@@ -136,7 +147,13 @@
             pods_.erase(lines[i].pod);
         else
             pods_[lines[i].pod] = {lines[i], addresses[i]};
+        if (duties_) duties_->pod_listed(lines[i].pod, lines[i].state == PodState::ready, lines[i].started);
     }
+    if (duties_)
+        duties_->ready_pods(
+            static_cast<std::size_t>(std::count_if(pods_.begin(), pods_.end(), [](auto& each) {
+                return each.second.line.state == PodState::ready;
+            })));
     if (kind == ListKind::changes) ledger_.drained(drains);
     std::uint64_t digest = 0;
     for (const auto& [id, pod] : pods_) {  // addresses may differ from one sidecar to the next
@@ -160,6 +177,7 @@
     return true;
 }
 void Fellow::dispatched(const PodId& pod) {
+    if (duties_) duties_->dispatched();
     const auto it = pods_.find(pod);
     const Build build = it == pods_.end() ? Build{} : it->second.line.build;
     ledger_.dispatched(build > news_.build || (build == news_.build && news_.phase != Phase::released));
@@ -449,6 +467,16 @@
         case wire::Word::kRecord:
             recorded(from.name, word.record());
             break;
+        case wire::Word::kPaces: {
+            if (!duties_ || !duties_->paces_told(from.name, word.paces())) break;
+            wire::Word said = this->word();
+            said.mutable_sent_of_late()->set_in_window(duties_->sent_of_late());
+            send(from.name, said);
+            break;
+        }
+        case wire::Word::kSentOfLate:
+            if (duties_) duties_->sent_told(from.name, word.sent_of_late().in_window());
+            break;
         default:
             break;
     }
@@ -498,26 +526,35 @@
                                                         : word_of(entry.standing));
     return row;
 }
-void Fellow::send_row(const Inquiry& inquiry, wire::Row row) {
+void Fellow::send_row(Inquiry& inquiry, wire::Row row) {
+    if (inquiry.own) return inquiry.rows.push_back(std::move(row));
     wire::Word said;
     *said.mutable_fleet() = head_of_answer();
     *said.mutable_fleet()->add_rows() = std::move(row);
     parley_.reply(inquiry.link, said);
 }
+void Fellow::send_last(Inquiry& inquiry) {
+    if (inquiry.own) return duties_->gathered(inquiry.rows);
+    wire::Word said;
+    *said.mutable_fleet() = head_of_answer();
+    said.mutable_fleet()->set_last(true);
+    parley_.reply(inquiry.link, said);
+}
 void Fellow::asked(LinkNo link, const wire::AskFleet& ask) {
     if (inquiries_.size() >= kInquiriesMost) {
-        wire::Word busy;
-        *busy.mutable_fleet() = head_of_answer();
-        busy.mutable_fleet()->set_last(true);
-        return parley_.reply(link, busy);
+        Inquiry busy{link, false, {}, {}, {}, 0};
+        return send_last(busy);
     }
+    inquire(link, ask.audit(), false);
+}
+void Fellow::inquire(LinkNo link, bool audit, bool own) {
     const std::uint64_t no = ++inquired_;
-    Inquiry inquiry{link, {}, {}, net::clock_now() + kRecordWithin};
-    wire::Row own = row_of(roll_.self());
-    if (ask.audit()) fleet::put(ledger_.record(), *own.mutable_record());
-    send_row(inquiry, std::move(own));
+    Inquiry inquiry{link, own, {}, {}, {}, net::clock_now() + kRecordWithin};
+    wire::Row self = row_of(roll_.self());
+    if (audit) fleet::put(ledger_.record(), *self.mutable_record());
+    send_row(inquiry, std::move(self));
     for (const auto& [name, entry] : roll_.others()) {
-        if (ask.audit() && entry.standing <= Standing::suspected)
+        if (audit && entry.standing <= Standing::suspected)
             inquiry.waiting.push_back(name);
         else
             send_row(inquiry, row_of(entry));
@@ -525,6 +562,22 @@
     ask_on(no, inquiries_.emplace(no, std::move(inquiry)).first->second);
     tend_inquiries();
 }
+std::vector<Name> Fellow::here() const {
+    std::vector<Name> names;
+    for (const auto& [name, entry] : roll_.others())
+        if (entry.standing == Standing::present) names.push_back(name);
+    return names;
+}
+void Fellow::say_paces(const Name& to, const wire::Paces& paces) {
+    wire::Word said = word();
+    *said.mutable_paces() = paces;
+    send(to, said);
+}
+void Fellow::pace(const PodId& pod, double most, Seconds valid) {
+    loop_.due.soon([this, pod, most, valid] {
+        if (ward_) ward_->pace(pod, most, valid);
+    });
+}
 void Fellow::ask_on(std::uint64_t no, Inquiry& inquiry) {
     while (!inquiry.waiting.empty() && inquiry.asked.size() < kAskedAtOnce) {
         const Name name = inquiry.waiting.front();
@@ -569,11 +622,8 @@
             ++it;
             continue;
         }
-        wire::Word said;
-        *said.mutable_fleet() = head_of_answer();
-        said.mutable_fleet()->set_last(true);
-        parley_.reply(inquiry.link, said);
-        it = inquiries_.erase(it);
+        auto over = inquiries_.extract(it++);
+        send_last(over.mapped());
     }
 }
 
--- a/src/fleet/fellow.hpp
+++ b/src/fleet/fellow.hpp
@@ -12,6 +12,7 @@
 #include "audit/heads.hpp"
 #include "audit/ledger.hpp"
 #include "fleet/archive.hpp"
+#include "fleet/duties.hpp"
 #include "fleet/parley.hpp"
 #include "fleet/roll.hpp"
 #include "fleet/treaty.hpp"
@@ -20,10 +21,17 @@
 
 namespace tideline::fleet {
 
-class Fellow : public net::Onlooker, RollHost, audit::CurrencyHost, audit::LedgerHost, Parley::Owner {
+class Fellow : public net::Onlooker,
+               RollHost,
+               audit::CurrencyHost,
+               audit::LedgerHost,
+               Parley::Owner,
+               Duties::Owner {
   public:
-    // `told`: digest of the sidecar's own configuration. Throws std::runtime_error with one plain line.
-    Fellow(net::Loop& loop, net::Log& log, const Treaty& treaty, const std::string& told, std::uint64_t seed);
+    // `told`: digest of the sidecar's own configuration; `pace`: its rule on cold pods. Throws
+    // std::runtime_error with one plain line.
+    Fellow(net::Loop& loop, net::Log& log, const Treaty& treaty, const std::string& told,
+           const warming::PaceTerms& pace, std::uint64_t seed);
     ~Fellow() override;
     void begin(net::Ward& ward);
     void take_up(const Treaty& fresh);  // after SIGHUP: what can change at run time
@@ -51,8 +59,10 @@
     };
     struct Inquiry {  // an audit that somebody asked for
         LinkNo link;
-        std::deque<Name> waiting;  // not yet asked
-        std::set<Name> asked;      // and not yet answered
+        bool own = false;             // for the roll call of this member
+        std::vector<wire::Row> rows;  // of an own one
+        std::deque<Name> waiting;     // not yet asked
+        std::set<Name> asked;         // and not yet answered
         Seconds until = 0;
     };
     // RollHost
@@ -75,6 +85,11 @@
     void alarm(const std::string& text) override { log_.alarm("audit: {}", text); }
     // audit::LedgerHost
     void sealed(const audit::Epoch& epoch) override;
+    // Duties::Owner
+    void gather_audit() override { inquire({}, true, true); }
+    std::vector<Name> here() const override;
+    void say_paces(const Name& to, const wire::Paces& paces) override;
+    void pace(const PodId& pod, double most, Seconds valid) override;
     // Parley::Owner
     void said(LinkNo link, const wire::Word& word) override;
     void unreachable(const Name& name) override;
@@ -90,9 +105,11 @@
     void review();
     void ask_on(std::uint64_t no, Inquiry& inquiry);
     void asked(LinkNo link, const wire::AskFleet& ask);
+    void inquire(LinkNo link, bool audit, bool own);
+    void send_last(Inquiry& inquiry);
     void recorded(const Name& by, const wire::Record& record);
     wire::Row row_of(const Entry& entry) const;
-    void send_row(const Inquiry& inquiry, wire::Row row);
+    void send_row(Inquiry& inquiry, wire::Row row);
     void tend_inquiries();
     wire::Fleet head_of_answer() const;
 
@@ -116,6 +133,7 @@
     audit::Ledger ledger_;
     Roll roll_;
     audit::Currency currency_;
+    std::unique_ptr<Duties> duties_;  // none without planners
     net::Due::Key ring_ = net::Due::kNone, review_ = net::Due::kNone;
     bool archive_full_ = false, began_ = false;
 };
--- /dev/null
+++ b/src/fleet/tenant.cpp
@@ -0,0 +1,168 @@
+#include "fleet/tenant.hpp"
+
+#include <fmt/format.h>
+
+#include <limits>
+
+#include "lease/clock.hpp"
+
+namespace tideline::fleet {
+namespace {
+
+using lease::AskNo;
+using lease::Fence;
+using lease::lasting_now;
+using lease::LeaseName;
+
+constexpr std::uint64_t kExtras = 1ULL << 63;     // their numbers are no lessee's
+constexpr Seconds kExtraFor = 5;                  // s: after that nobody waits for the answer
+constexpr std::size_t kFrame = 16 * 1024 * 1024;  // bytes: a planner's table
+
+}  // namespace
+
+Tenant::Tenant(net::Loop& loop, net::Log& log, Owner& owner, const std::vector<std::string>& planners,
+               const lease::LesseeTerms& terms, const std::string& own_address, const lease::Member& self)
+    : loop_(loop),
+      log_(log),
+      owner_(owner),
+      planners_(planners),
+      own_address_(own_address),
+      self_(self),
+      parley_(loop, *this, {2 * planners.size() + 2, kFrame}, net::address_of(own_address)->host),
+      lessee_(*this, terms, self.life),
+      at_(self.life.value % planners.size()) {}
+Tenant::~Tenant() { loop_.due.cancel(ring_); }
+
+void Tenant::want(const LeaseName& lease) {
+    lessee_.want(lasting_now(), lease);
+    ring();
+}
+void Tenant::give_back_all() {
+    for (const LeaseName& lease : lessee_.wanted()) lessee_.drop(lasting_now(), lease);
+    ring();
+}
+std::optional<Fence> Tenant::may_act(const LeaseName& lease) const {
+    return lessee_.may_act(lasting_now(), lease);
+}
+
+wire::LeaseAsk Tenant::ask(wire::LeaseAsk::What what, std::uint64_t no, const LeaseName& lease,
+                           Fence fence) const {
+    wire::LeaseAsk said;
+    said.set_what(what), said.set_no(no), said.set_lease(lease.value), said.set_fence(fence.value);
+    said.set_member(self_.name.value), said.set_life(self_.life.value);
+    return said;
+}
+void Tenant::say(const wire::LeaseAsk& what) {
+    wire::Word word;
+    word.mutable_from()->mutable_self()->set_name(self_.name.value);
+    word.mutable_from()->mutable_self()->set_address(own_address_);
+    *word.mutable_lease_ask() = what;
+    const std::string& planner = planners_[at_];
+    parley_.send(Name{planner}, planner, word);
+}
+void Tenant::ask_take(AskNo no, const LeaseName& lease) {
+    say(ask(wire::LeaseAsk::TAKE, no.value, lease, {}));
+}
+void Tenant::ask_renew(AskNo no, const LeaseName& lease, Fence fence) {
+    say(ask(wire::LeaseAsk::RENEW, no.value, lease, fence));
+}
+void Tenant::ask_give_back(AskNo no, const LeaseName& lease, Fence fence) {
+    say(ask(wire::LeaseAsk::GIVE_BACK, no.value, lease, fence));
+}
+void Tenant::ask_stop_waiting(AskNo no, const LeaseName& lease) {
+    say(ask(wire::LeaseAsk::STOP_WAITING, no.value, lease, {}));
+}
+void Tenant::another_planner() { at_ = (at_ + 1) % planners_.size(); }
+void Tenant::held(const LeaseName& lease, Fence fence) {
+    log_.line("leases: holds '{}' under fence {}", lease.value, fence.value);
+    loop_.due.soon([this, lease, fence] { owner_.lease_held(lease, fence); });
+}
+void Tenant::lost(const LeaseName& lease, Fence fence, lease::Loss why) {
+    log_.line("leases: holds '{}' no more, fence {}: {}", lease.value, fence.value,
+              why == lease::Loss::given_back  ? "given back"
+              : why == lease::Loss::time_over ? "its time is over"
+                                              : "the planners say so");
+    loop_.due.soon([this, lease, fence] { owner_.lease_lost(lease, fence); });
+}
+
+void Tenant::alarm(const LeaseName& lease, bool raised, const std::string& key, const std::string& text) {
+    const auto fence = may_act(lease);
+    if (!fence) return;
+    const Seconds now = lasting_now();
+    std::erase_if(extras_, [&](auto& each) { return now > each.second.at + kExtraFor; });
+    for (const auto& [no, extra] : extras_)  // it is under way already
+        if (extra.alarm && extra.lease == lease && extra.key == key) return;
+    const std::uint64_t no = kExtras + ++last_extra_;
+    extras_[no] = {lease, key, true, raised, now};
+    wire::LeaseAsk said = ask(raised ? wire::LeaseAsk::RAISE : wire::LeaseAsk::CLEAR, no, lease, *fence);
+    said.set_key(key), said.set_text(text);
+    say(said);
+}
+void Tenant::ask_standing(const LeaseName& lease) {
+    const std::uint64_t no = kExtras + ++last_extra_;
+    extras_[no] = {lease, {}, false, false, lasting_now()};
+    say(ask(wire::LeaseAsk::TABLE, no, lease, {}));
+}
+
+void Tenant::said(LinkNo, const wire::Word& word) {
+    const Seconds now = lasting_now();
+    if (word.has_turn()) {
+        if (word.turn().member() == self_.name.value && word.turn().life() == self_.life.value)
+            lessee_.your_turn(now, LeaseName{word.turn().lease()});
+        return ring();
+    }
+    if (!word.has_lease_answer()) return;
+    const wire::LeaseAnswer& answer = word.lease_answer();
+    // Danger: planners of another cluster know nothing of what these have granted.
+    if (cluster_ == 0) cluster_ = answer.cluster();
+    if (answer.cluster() != cluster_) {
+        if (!std::exchange(told_cluster_, true))
+            log_.alarm("leases: a planner of another cluster answers: {:016x}, not {:016x}", answer.cluster(),
+                       cluster_);
+        return;
+    }
+    const auto what = static_cast<lease::Answer>(answer.what());
+    if (const auto extra = extras_.find(answer.no()); extra != extras_.end()) {
+        const Extra its = extra->second;
+        extras_.erase(extra);
+        if (what == lease::Answer::not_now) return another_planner();
+        if (what != lease::Answer::granted) return;
+        if (its.alarm) return owner_.alarm_settled(its.lease, its.key, its.raised, answer.done());
+        if (answer.table().stale()) return;
+        std::set<std::string> keys;
+        for (const auto& each : answer.table().raised())
+            if (each.lease() == its.lease.value) keys.insert(each.key());
+        return owner_.standing(its.lease, keys);
+    }
+    const AskNo no{answer.no()};
+    switch (what) {
+        case lease::Answer::granted:
+            lessee_.granted(now, no, Fence{answer.fence()}, answer.span());
+            break;
+        case lease::Answer::waiting:
+            lessee_.waiting(now, no, answer.before());
+            break;
+        case lease::Answer::over:
+            lessee_.over(now, no);
+            break;
+        case lease::Answer::not_now:
+            lessee_.not_now(now, no);
+            break;
+        case lease::Answer::refused:
+            lessee_.refused(now, no);
+            break;
+    }
+    ring();
+}
+void Tenant::ring() {
+    loop_.due.cancel(ring_);
+    const Seconds at = lessee_.due();
+    if (at == std::numeric_limits<double>::infinity()) return;
+    ring_ = loop_.due.at(net::clock_now() + std::max(0.0, at - lasting_now()), [this] {
+        ring_ = net::Due::kNone;
+        lessee_.tick(lasting_now());
+        ring();
+    });
+}
+
+}  // namespace tideline::fleet
--- /dev/null
+++ b/src/fleet/tenant.hpp
@@ -0,0 +1,81 @@
+// A member's way to the planners: joins its lessee to connections. Any planner will do.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet/parley.hpp"
+#include "lease/lessee.hpp"
+#include "net/log.hpp"
+
+namespace tideline::fleet {
+
+class Tenant : lease::LesseeHost, Parley::Owner {
+  public:
+    class Owner {
+      public:
+        virtual ~Owner() = default;
+        virtual void lease_held(const lease::LeaseName& lease, lease::Fence fence) = 0;
+        virtual void lease_lost(const lease::LeaseName& lease, lease::Fence fence) = 0;
+        // An alarm of that lease was settled at the planners: it stands or not; and whether that is new.
+        virtual void alarm_settled(const lease::LeaseName& lease, const std::string& key, bool raised,
+                                   bool changed) = 0;
+        virtual void standing(const lease::LeaseName& lease, const std::set<std::string>& keys) = 0;
+    };
+    Tenant(net::Loop& loop, net::Log& log, Owner& owner, const std::vector<std::string>& planners,
+           const lease::LesseeTerms& terms, const std::string& own_address, const lease::Member& self);
+    ~Tenant() override;
+
+    void want(const lease::LeaseName& lease);
+    void give_back_all();
+    // Asked right before each act; the fence goes along.
+    std::optional<lease::Fence> may_act(const lease::LeaseName& lease) const;
+    // Acts at the planners, under the lease's fence; nothing where this member may not act.
+    void alarm(const lease::LeaseName& lease, bool raised, const std::string& key, const std::string& text);
+    void ask_standing(const lease::LeaseName& lease);
+
+  private:
+    struct Extra {  // a question that is not the lessee's
+        lease::LeaseName lease;
+        std::string key;
+        bool alarm = false, raised = false;
+        Seconds at = 0;
+    };
+    // lease::LesseeHost
+    void ask_take(lease::AskNo no, const lease::LeaseName& lease) override;
+    void ask_renew(lease::AskNo no, const lease::LeaseName& lease, lease::Fence fence) override;
+    void ask_give_back(lease::AskNo no, const lease::LeaseName& lease, lease::Fence fence) override;
+    void ask_stop_waiting(lease::AskNo no, const lease::LeaseName& lease) override;
+    void another_planner() override;
+    void held(const lease::LeaseName& lease, lease::Fence fence) override;
+    void lost(const lease::LeaseName& lease, lease::Fence fence, lease::Loss why) override;
+    // Parley::Owner
+    void said(LinkNo link, const wire::Word& word) override;
+    void unreachable(const Name&) override {}
+    void parley_said(const std::string& what) override { log_.line("leases: {}", what); }
+
+    wire::LeaseAsk ask(wire::LeaseAsk::What what, std::uint64_t no, const lease::LeaseName& lease,
+                       lease::Fence fence) const;
+    void say(const wire::LeaseAsk& what);
+    void ring();
+
+    net::Loop& loop_;
+    net::Log& log_;
+    Owner& owner_;
+    const std::vector<std::string> planners_;
+    const std::string own_address_;
+    const lease::Member self_;
+    Parley parley_;
+    lease::Lessee lessee_;
+    std::size_t at_ = 0;         // of the planner that is asked
+    std::uint64_t cluster_ = 0;  // of the planners; told by the first answer
+    bool told_cluster_ = false;
+    std::map<std::uint64_t, Extra> extras_;
+    std::uint64_t last_extra_ = 0;
+    net::Due::Key ring_ = net::Due::kNone;
+};
+
+}  // namespace tideline::fleet
--- a/src/fleet/treaty.cpp
+++ b/src/fleet/treaty.cpp
@@ -48,6 +48,15 @@
                           {"most_out", read.number(currency.most_out, 0, 0.9)},
                           {"epochs", read.number(treaty.epochs, 2, 100000)}});
     };
+    const auto planners = [&](const Setting& from) {
+        read.group(from, {{"addresses", read.addresses(treaty.planners)},
+                          {"answer_wait", read.number(treaty.lessee.answer_wait, 0.05, 60, " s")},
+                          {"ask_again", read.number(treaty.lessee.ask_again, 0.1, 600, " s")},
+                          {"renew_most", read.number(treaty.lessee.renew_most, 0.05, 600, " s")},
+                          {"roll_call", read.number(treaty.roll_call, 0, 3600, " s")},
+                          {"warming", read.number(treaty.warming, 0, 60, " s")}});
+        if (treaty.planners.empty()) read.fault(from, "addresses is missing, or names no planner");
+    };
     const auto limits = [&](const Setting& from) {
         read.group(from, {{"links", read.number(treaty.links, 4, 10000)},
                           {"frame", read.number(treaty.frame, 16384, 64.0 * 1024 * 1024, " bytes")}});
@@ -61,6 +70,7 @@
                           {"folder", read.text(treaty.folder)},
                           {"membership", membership},
                           {"audit", audit},
+                          {"planners", planners},
                           {"limits", limits}});
         for (const char* needed : {"member", "listen"})
             if (from.isGroup() && !from.exists(needed))
--- a/src/fleet/treaty.hpp
+++ b/src/fleet/treaty.hpp
@@ -7,6 +7,7 @@
 
 #include "audit/currency.hpp"
 #include "fleet/roll.hpp"
+#include "lease/lessee.hpp"
 
 namespace tideline::fleet {
 
@@ -22,7 +23,11 @@
     std::size_t epochs = 256;         // sealed epochs kept one by one
     RollTerms roll;
     audit::CurrencyTerms currency;
-    std::string digest;  // of the file's text
+    std::vector<std::string> planners;  // their addresses; none: no task is done by one for all
+    lease::LesseeTerms lessee;
+    Seconds roll_call = 5;  // from one to the next, by the one that holds its lease; 0: never
+    Seconds warming = 0.5;  // from one deal of paces to the next, likewise
+    std::string digest;     // of the file's text
 };
 
 struct Fault {
--- a/src/lease/lessee.cpp
+++ b/src/lease/lessee.cpp
@@ -130,6 +130,10 @@
     if (it != all_.end() && it->second.fence == Fence{}) ask(now, lease, it->second);
 }
 
+void Lessee::renew_now(Seconds now, const LeaseName& lease) {
+    const auto it = all_.find(lease);
+    if (it != all_.end() && it->second.fence > Fence{}) ask(now, lease, it->second);
+}
 void Lessee::tick(Seconds now) {
     bool moved = false;
     for (auto& [lease, want] : all_) {
@@ -155,6 +159,11 @@
     if (it == all_.end() || it->second.fence == Fence{} || now >= it->second.until) return std::nullopt;
     return it->second.fence;
 }
+std::vector<LeaseName> Lessee::wanted() const {
+    std::vector<LeaseName> names;
+    for (const auto& [lease, want] : all_) names.push_back(lease);
+    return names;
+}
 std::size_t Lessee::before(const LeaseName& lease) const {
     const auto it = all_.find(lease);
     return it == all_.end() ? 0 : it->second.before;
--- a/src/lease/lessee.hpp
+++ b/src/lease/lessee.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "lease/words.hpp"
 
@@ -48,12 +49,13 @@
     void not_now(Seconds now, AskNo no);
     void refused(Seconds now, AskNo no);
     void your_turn(Seconds now, const LeaseName& lease);
+    void renew_now(Seconds now, const LeaseName& lease);  // before its time; where it is held
     void tick(Seconds now);
     Seconds due() const;  // when tick is to be called next
 
     // Asked right before each act. The fence goes along with the act.
     std::optional<Fence> may_act(Seconds now, const LeaseName& lease) const;
-    bool wants(const LeaseName& lease) const { return all_.contains(lease); }
+    std::vector<LeaseName> wanted() const;
     std::size_t before(const LeaseName& lease) const;  // how many come first, where it waits
     std::string state(Seconds now) const;
 
--- a/src/net/onlooker.hpp
+++ b/src/net/onlooker.hpp
@@ -30,6 +30,7 @@
                            const std::vector<Address>& addresses) = 0;
     virtual void hand_news(Build build, Stage stage, Phase phase, double cap, Seconds age) = 0;
     virtual void stand(Stand stand) = 0;
+    virtual void pace(const PodId& pod, double most, Seconds valid) = 0;
 };
 
 }  // namespace tideline::net
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -30,6 +30,9 @@
                    const std::vector<Address>& addresses) override;
     void hand_news(Build build, Stage stage, Phase phase, double cap, Seconds age) override;
     void stand(Stand stand) override;
+    void pace(const PodId& pod, double most, Seconds valid) override {
+        choice_->pace_told(clock_now(), pod, most, valid);
+    }
 
   private:
     struct Held {  // an invocation that was taken, until nothing of it is out
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -105,6 +105,12 @@
     else if (seat != office_->log().council().end())
         parley_.send(seat->second.name, seat->second.address, said);
 }
+void Planner::say_here(const Name& name, const std::string& address) {
+    wire::Word here = word();
+    here.mutable_planning()->set_here(true);
+    here.mutable_planning()->set_cluster(cluster_.value);
+    parley_.send(name, address, here);
+}
 void Planner::knock() {
     const Seconds now = lasting_now();
     if (!office_ || !office_->log().council().contains(self())) {
@@ -167,10 +173,7 @@
         return log_.line("planner: a word as of {} came from elsewhere", name.value);
     if (p.has_knock()) {
         if (cluster_.value == 0) return;
-        wire::Word here = this->word();
-        here.mutable_planning()->set_here(true);
-        here.mutable_planning()->set_cluster(cluster_.value);
-        parley_.send(name, address, here);
+        say_here(name, address);
         if (p.cluster() == 0 || p.cluster() == cluster_.value)
             return knocked(Name{p.knock().name()}, p.knock().address(), Peer{p.knock().peer()}, now);
     }
@@ -195,10 +198,11 @@
     // Danger: a planner with another cluster's disk would vote, and be told records, of what it is no part
     // of.
     if (p.cluster() != cluster_.value || !office_) {
-        if (office_ && p.cluster() != 0 && cluster_.value != 0 &&
-            told_.insert("cluster " + name.value).second)
+        if (!office_ || p.cluster() == 0 || cluster_.value == 0) return;
+        if (told_.insert("cluster " + name.value).second)
             log_.alarm("planner: {} is of another cluster, {:016x}: nothing of it is taken", name.value,
                        p.cluster());
+        if (!p.here()) say_here(name, address);  // so that it says so too
         return;
     }
     met_[Peer{p.from()}] = {name, address};
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -62,6 +62,7 @@
     wire::Word word() const;
     void planning(fleet::LinkNo link, const wire::Word& word);
     void knocked(const fleet::Name& name, const std::string& address, Peer peer, Seconds now);
+    void say_here(const fleet::Name& name, const std::string& address);
     void knock();
     void lease_asked(fleet::LinkNo link, const wire::Word& word);
     void serve(Seconds now, lease::AskNo no, const wire::LeaseAsk& ask);
--- a/tools/council/world.cpp
+++ b/tools/council/world.cpp
@@ -419,6 +419,11 @@
         its.lessee->drop(local(member), kLease);
     check();
 }
+void Council::renew_now(int member) {
+    MemberNode& its = *members_[static_cast<std::size_t>(member - terms_.planners)];
+    if (its.up) its.lessee->renew_now(local(member), kLease);
+    check();
+}
 void Council::guard(int member) {
     MemberNode& its = *members_[static_cast<std::size_t>(member - terms_.planners)];
     if (its.up) its.under_way = its.lessee->may_act(local(member), kLease);
--- a/tools/council/world.hpp
+++ b/tools/council/world.hpp
@@ -67,6 +67,7 @@
     void admit(int planner, int by);      // an operator's word at that leader
     void take_away(int by);               // likewise
     void want(int member, bool wanted);   // the lease
+    void renew_now(int member);           // as if its time had come
     void guard(int member);               // asks its guard; if it may act, an act is under way
     void act(int member);                 // what is under way reaches the target
     void alarm(int member, bool raised);  // while it may act
--- /dev/null
+++ b/tools/guards/bite.py
@@ -0,0 +1,141 @@
+#!/usr/bin/env python3
+"""Takes each guard of the planners' and leases' cores out, one at a time, in a copy of the sources, and looks
+whether the searches see it. Prints, for each, what failed; exit status 1 if a guard was not missed.
+
+    tools/guards/bite.py [--only WORD] [--seeds N] [--keep]
+"""
+import argparse
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+# Name, file, the text with the guard, the text without it.
+GUARDS = [
+    ("the grantor waits longer than the holder, by the drift", "src/lease/lessor.hpp",
+     "return span * (1 + drift) / (1 - drift);", "return span;"),
+    ("the target refuses an older fence", "src/lease/gate.hpp",
+     "if (fence < newest || fence == Fence{}) return false;", "if (fence == Fence{}) return false;"),
+    ("a vote is stored before it is sent", "src/consensus/raft.cpp",
+     "owed_.push_back({asked_store_, true, from, reign, {}, {}});",
+     "host_->answer_vote(from, promise_.reign, true, false);"),
+    ("a holder counts from before it asked", "src/lease/lessee.cpp",
+     "const Seconds until = want->asked_at + span;", "const Seconds until = now + span;"),
+    ("an emptied disk is another planner", "src/consensus/raft.cpp",
+     "name.value.size(), disk.value) | 1", "name.value.size(), 0 * disk.value) | 1"),
+    ("records are acknowledged once they are stored", "src/consensus/raft.cpp",
+     "owed_.push_back({asked_store_, false, to, promise_.reign, its_reached, round});",
+     "host_->answer_tell(to, promise_.reign, true, its_reached, round);"),
+    ("a leader counts its own record once it is stored", "src/consensus/raft.cpp",
+     "if (peer == self_) return durable_;", "if (peer == self_) return last();"),
+    ("a record of an earlier reign is committed only by one of this", "src/consensus/raft.cpp",
+     "|| reign_at(by_most) != promise_.reign) return;", ") return;"),
+    ("a vote only for a log that is as new", "src/consensus/raft.cpp",
+     "const bool granted = reign == promise_.reign && as_new &&",
+     "const bool granted = reign == promise_.reign &&"),
+    ("one vote in a reign", "src/consensus/raft.cpp",
+     "(promise_.voted == Peer{} || promise_.voted == from);", "true;"),
+    ("a new leader answers only once all before it is applied", "src/consensus/raft.hpp",
+     "return leads() && applied_ >= reign_begins_;", "return leads();"),
+    ("a new leader counts all holders' time anew", "src/lease/lessor.cpp",
+     "clocks_[name] = {lease.now.fence, now + terms_.wait(), 0, true, false};",
+     "clocks_[name] = {lease.now.fence, now, 0, true, false};"),
+    ("a renewal is confirmed by the others first", "src/lease/lessor.cpp",
+     "rounds_.emplace(host_->confirm(), Waits{no, name, fence, now});",
+     "clock->second.until = now + terms_.wait(), clock->second.answered = true;\n"
+     "    host_->answer(no, Answer::granted, fence, terms_.span, 0);"),
+    ("what is about to end is not renewed", "src/lease/lessor.cpp",
+     "clock->second.fence != waits.fence || clock->second.ending ||", "clock->second.fence != waits.fence ||"),
+    ("an end is about one fence", "src/lease/register.cpp",
+     "if (it == leases_.end() || it->second.now.fence != fence || fence == Fence{}) return;\n    end(",
+     "if (it == leases_.end() || it->second.now.fence == Fence{}) return;\n    end("),
+    ("what is taken away is not renewed, and not granted before its time", "src/lease/register.cpp",
+     "it->second.withdrawn = true;", "it->second.now = {};"),
+    ("a fence that was given back is never used again", "src/lease/lessee.cpp",
+     "fence <= given->second) {", "fence < Fence{}) {"),
+    ("a life numbers its questions from elsewhere", "src/lease/lessee.cpp",
+     "last_{life.value << kLifeShift}", "last_{0 * life.value << kLifeShift}"),
+    ("a holder stops before it gives back", "src/lease/lessee.cpp",
+     "if (fence > Fence{}) lose(lease, it->second, Loss::given_back);\n    all_.erase(it);",
+     "if (fence > Fence{}) {\n        give_back(lease, fence);\n        return;\n    }\n    all_.erase(it);"),
+    ("one change of a voter at a time, begun in its own reign", "src/consensus/raft.cpp",
+     "if (!settled() || (!councils_.empty() && councils_.rbegin()->first > committed_)) return false;",
+     "if (!leads()) return false;"),
+    ("a late alarm under an old fence is not raised", "src/lease/register.cpp",
+     "if (!lease || lease->now.fence != fence || fence == Fence{}) return Change::over;\n    auto& all",
+     "if (!lease) return Change::over;\n    auto& all"),
+    ("a lower reign is told of the higher one in a rehearsal", "src/consensus/raft.cpp",
+     "if (rehearsal && !has_leader && reign <= promise_.reign)", "if (false)"),
+]
+
+
+def run(*command, **more):
+    return subprocess.run(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, **more)
+
+
+def build(tree, out):
+    if not (out / "CMakeCache.txt").exists():
+        run("cmake", "-S", tree, "-B", out, "-DCMAKE_BUILD_TYPE=Release", "-DTIDELINE_TESTS=OFF", check=True)
+    made = run("cmake", "--build", out, "-j6", "--target", "tideline_worlds", "tideline_virtual")
+    return made.returncode == 0, made.stdout
+
+
+def misses(out, seeds):
+    """What failed without the guard: the small worlds first, then virtual time."""
+    worlds = run(out / "tideline_worlds", "--depth", "1")
+    if worlds.returncode != 0:
+        lines = worlds.stdout.splitlines()
+        at = next((i for i, line in enumerate(lines) if line.endswith("after:")), len(lines) - 1)
+        end = next((i for i in range(at + 1, len(lines)) if not lines[i].startswith("  ")), len(lines))
+        return "worlds", lines[at:end]
+    for planners, members in (("3", "4"), ("5", "20")):
+        virtual = run(out / "tideline_virtual", "leases", "--seeds", str(seeds), "--planners", planners,
+                      "--members", members)
+        if virtual.returncode != 0:
+            return f"virtual, {planners} planners, {members} members", virtual.stdout.splitlines()[:1]
+    return None, []
+
+
+def main():
+    wish = argparse.ArgumentParser(description=__doc__)
+    wish.add_argument("--only", default="")
+    wish.add_argument("--seeds", type=int, default=1500)
+    wish.add_argument("--keep", action="store_true", help="print whole schedules")
+    wish = wish.parse_args()
+    unmissed = 0
+    with tempfile.TemporaryDirectory(prefix="tideline-guards-") as folder:
+        tree, out = pathlib.Path(folder, "tree"), pathlib.Path(folder, "build")
+        tree.mkdir()
+        for name in ("src", "tools", "tests", "CMakeLists.txt"):
+            source = ROOT / name
+            (shutil.copytree if source.is_dir() else shutil.copy2)(source, tree / name)
+        for name, file, there, gone in GUARDS:
+            if wish.only not in name:
+                continue
+            path = tree / file
+            whole = path.read_text()
+            if whole.count(there) != 1:
+                print(f"{name}: its text stands {whole.count(there)} times in {file}, not once", flush=True)
+                unmissed += 1
+                continue
+            path.write_text(whole.replace(there, gone))
+            built, said = build(tree, out)
+            by, lines = misses(out, wish.seeds) if built else (None, said.splitlines()[-5:])
+            path.write_text(whole)
+            if by is None:
+                print(f"{name}: NOT MISSED", *lines, sep="\n  ", flush=True)
+                unmissed += 1
+            elif wish.keep:
+                print(f"{name}: missed by {by}", *lines, sep="\n  ", flush=True)
+            else:
+                print(f"{name}: missed by {by}: {lines[0]} {len(lines) - 1} events" if by == "worlds"
+                      else f"{name}: missed by {by}: {lines[0]}", flush=True)
+    print(f"{len(GUARDS)} guards, {unmissed} not missed")
+    return 1 if unmissed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/rig/baddisk.cpp
@@ -0,0 +1,57 @@
+// Loaded before a planner by the rig (LD_PRELOAD): what the disk and the clock of the day do to it while the
+// file named by TIDELINE_BADDISK holds one of these words.
+//   fsync: every fsync fails    full: no write finds room    back: the time of day is an hour earlier
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <sys/types.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdlib>
+#include <cstring>
+#include <ctime>
+
+namespace {
+
+bool is(const char* word) {
+    static const char* const path = std::getenv("TIDELINE_BADDISK");
+    if (!path) return false;
+    const int fd = ::open(path, O_RDONLY | O_CLOEXEC);
+    if (fd < 0) return false;
+    char text[16] = {};
+    const auto size = ::read(fd, text, sizeof text - 1);
+    ::close(fd);
+    return size > 0 && std::strncmp(text, word, std::strlen(word)) == 0;
+}
+template <class Function>
+Function next(const char* name) {
+    return reinterpret_cast<Function>(::dlsym(RTLD_NEXT, name));
+}
+
+}  // namespace
+
+extern "C" {
+
+int fsync(int fd) {
+    static const auto real = next<int (*)(int)>("fsync");
+    if (is("fsync")) return errno = EIO, -1;
+    return real(fd);
+}
+int fdatasync(int fd) {
+    static const auto real = next<int (*)(int)>("fdatasync");
+    if (is("fsync")) return errno = EIO, -1;
+    return real(fd);
+}
+ssize_t pwrite64(int fd, const void* data, size_t size, off64_t at) {
+    static const auto real = next<ssize_t (*)(int, const void*, size_t, off64_t)>("pwrite64");
+    if (is("full")) return errno = ENOSPC, -1;
+    return real(fd, data, size, at);
+}
+ssize_t pwrite(int fd, const void* data, size_t size, off_t at) { return pwrite64(fd, data, size, at); }
+int clock_gettime(clockid_t clock, timespec* at) {
+    static const auto real = next<int (*)(clockid_t, timespec*)>("clock_gettime");
+    const int result = real(clock, at);
+    if (clock == CLOCK_REALTIME && is("back")) at->tv_sec -= 3600;
+    return result;
+}
+}
--- /dev/null
+++ b/tools/rig/council.hpp
@@ -0,0 +1,84 @@
+// Planners and holders under the rig: real processes, the relay between them all, a target that writes down
+// every act with its fence, and disks and clocks that go bad.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "planner/inquiry.hpp"
+#include "rig/relay.hpp"
+#include "rig/schedule.hpp"
+#include "stand/process.hpp"
+#include "stand/server.hpp"
+
+namespace tideline::rig {
+
+struct CouncilWish {
+    std::string program = "build/tideline", holder = "build/tideline_holder",
+                baddisk = "build/libtideline_baddisk.so";
+    int planners = 5, holders = 6;
+    std::uint32_t seed = 1;
+    bool keep = false;
+};
+
+// The times that they are told; short, so that a run is.
+constexpr Seconds kSpan = 1, kClaim = 0.3, kHeartbeat = 0.05, kElectionLeast = 0.25, kElectionMost = 0.5;
+constexpr double kDrift = 0.01;
+
+struct Act {
+    Seconds at = 0;  // it came to the target
+    std::string by;
+    std::uint64_t fence = 0;
+    Seconds before = 0, after = 0;  // the guard said yes between these, by a clock common to all
+    bool passed = false;            // the target let it take effect
+};
+
+// Nodes count from 1: the planners, then the holders.
+class CouncilWorld {
+  public:
+    CouncilWorld(net::Loop& loop, const CouncilWish& wish);
+    ~CouncilWorld();
+    void begin();  // founds the cluster, starts all; throws where that does not come about
+    void apply(const Event& event);
+    void run(Seconds span);
+    bool run_until(Seconds most, const std::function<bool()>& holds);
+    void start(int node, bool founds = false);
+    // One question to one planner, past the relay; nothing where no answer came within a second.
+    std::optional<wire::LeaseAnswer> ask(int planner, const wire::LeaseAsk& ask);
+    std::optional<wire::PlannerTable> table(int planner);
+    int leader();  // 0: none that answers
+    bool well();   // all planners vote, and one leads
+    std::string log_of(int node) const;
+    std::string folder_of(int planner) const;
+    std::string name_of(int node) const;
+    int node_of(const std::string& name) const;
+    double cpu_of(int node) const;  // s
+    bool is_planner(int node) const { return node <= wish.planners; }
+
+    net::Loop& loop;
+    const CouncilWish wish;
+    std::string folder;
+    Relay relay;
+    std::vector<std::unique_ptr<stand::Process>> processes;  // [0] is not used
+    std::vector<Act> acts;
+    std::vector<std::pair<int, int>> ended;  // planners that ended by themselves, with their status
+
+  private:
+    class TargetLink;
+    void acted(const std::string& line);
+    std::string binder_of(int planner) const;
+    stand::Server<TargetLink, CouncilWorld> target_;
+    std::uint64_t newest_ = 0;  // the target's gate
+    std::vector<bool> stopped_;
+    int drawn_ = 0;
+};
+
+// What does not hold in the whole record.
+std::vector<std::string> faults_of(const CouncilWorld& world);
+
+std::vector<Event> drawn_council(std::uint32_t seed, int planners, int holders, Seconds length);
+
+}  // namespace tideline::rig
--- /dev/null
+++ b/tools/rig/holder.cpp
@@ -0,0 +1,113 @@
+// A member that does one task under a lease: it acts again and again, each time with its guard asked right
+// before, and the fence sent along to the target. For the rig; it is joined to the planners by the very parts
+// that a sidecar has.
+//   SIGUSR1: gives the lease back and wants it again a little later. SIGTERM: gives it back and ends.
+//   A file at --mark: it stands still (SIGSTOP) once, between its guard and its act.
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <filesystem>
+
+#include "cli/signals.hpp"
+#include "fleet/tenant.hpp"
+#include "lease/clock.hpp"
+
+namespace {
+
+using namespace tideline;
+
+constexpr Seconds kActEvery = 0.01;  // s
+constexpr Seconds kWantAgain = 0.4;  // s
+const lease::LeaseName kTask{"task"};
+
+volatile std::sig_atomic_t asked_to_give_back = 0;
+
+class Target : public net::Link {
+  public:
+    Target(net::Loop& loop, const net::Address& address) : Link(loop), address_(address) { open(address); }
+    void say(const std::string& line) {
+        if (closed()) open(address_);
+        put(line);
+    }
+
+  protected:
+    void came_in() override { in_.drop(in_.size()); }
+    void ended() override {}
+
+  private:
+    const net::Address address_;
+};
+
+class Holder : fleet::Tenant::Owner {
+  public:
+    Holder(net::Loop& loop, net::Log& log, const std::vector<std::string>& planners,
+           const std::string& address, const lease::Member& self, const net::Address& target,
+           std::string mark)
+        : loop_(loop),
+          name_(self.name.value),
+          mark_(std::move(mark)),
+          target_(loop, target),
+          tenant_(loop, log, *this, planners, {0.25, 0.5, 0.3}, address, self) {
+        tenant_.want(kTask);
+        act();
+    }
+    void give_back() { tenant_.give_back_all(); }
+    void give_back_for_a_while() {
+        tenant_.give_back_all();
+        loop_.due.at(net::clock_now() + kWantAgain, [this] { tenant_.want(kTask); });
+    }
+
+  private:
+    void lease_held(const lease::LeaseName&, lease::Fence) override {}
+    void lease_lost(const lease::LeaseName&, lease::Fence) override {}
+    void alarm_settled(const lease::LeaseName&, const std::string&, bool, bool) override {}
+    void standing(const lease::LeaseName&, const std::set<std::string>&) override {}
+    void act() {
+        const Seconds before = lease::lasting_now();
+        const auto fence = tenant_.may_act(kTask);
+        const Seconds after = lease::lasting_now();
+        if (fence) {
+            // The marked point: the guard has said yes, the act has not gone out.
+            if (!mark_.empty() && std::filesystem::remove(mark_)) std::raise(SIGSTOP);
+            target_.say(fmt::format("{} {} {:.6f} {:.6f}\n", name_, fence->value, before, after));
+        }
+        loop_.due.at(net::clock_now() + kActEvery, [this] { act(); });
+    }
+    net::Loop& loop_;
+    const std::string name_, mark_;
+    Target target_;
+    fleet::Tenant tenant_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    std::string name, address, target, mark;
+    std::vector<std::string> planners;
+    CLI::App app("A member that does one task under a lease, for the rig.", "tideline_holder");
+    app.add_option("--name", name)->required();
+    app.add_option("--address", address, "the host it comes from, with any port")->required();
+    app.add_option("--planners", planners)->required();
+    app.add_option("--target", target, "host:port that its acts go to")->required();
+    app.add_option("--mark", mark, "while this file is there, it stands still between guard and act, once");
+    CLI11_PARSE(app, argc, argv);
+    net::Log log;
+    net::Loop loop;
+    cli::Signals signals(loop);
+    std::signal(SIGUSR1, [](int) { asked_to_give_back = 1; });
+    const auto life = static_cast<std::uint64_t>(net::clock_now() * 1e3);
+    Holder holder(loop, log, planners, address, {lease::Name{name}, lease::Life{life}},
+                  *net::address_of(target), mark);
+    while (!signals.asked_to_end) {
+        loop.pass();
+        log.flush();
+        if (asked_to_give_back) asked_to_give_back = 0, holder.give_back_for_a_while();
+    }
+    holder.give_back();
+    bool over = false;
+    loop.due.at(net::clock_now() + 0.2, [&] { over = true; });
+    while (!over) loop.pass();
+    log.flush();
+    return 0;
+}
--- /dev/null
+++ b/tools/rig/leases.hpp
@@ -0,0 +1,18 @@
+// The rig's part about planners and leases: fixed scenarios, schedules of events, and how long a lease is
+// without a holder.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "rig/council.hpp"
+
+namespace tideline::rig {
+
+// `scenario`: one of the fixed ones, or all. False where something did not hold; `played` counts them.
+bool play_leases(const CouncilWish& wish, const std::string& scenario, int& played);
+bool play_council(const CouncilWish& wish, const std::string& name, const std::vector<Event>& events);
+// After each of so many kills, stops and cuts of the holder: until the next one acts.
+void measure_gaps(const CouncilWish& wish, int times);
+
+}  // namespace tideline::rig
--- a/tools/rig/main.cpp
+++ b/tools/rig/main.cpp
@@ -4,12 +4,14 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 
 #include "fleet/frame.hpp"
 #include "fleet/wire.hpp"
 #include "rig/check.hpp"
+#include "rig/leases.hpp"
 #include "stand/server.hpp"
 
 namespace {
@@ -379,10 +381,49 @@
     app.add_option("--length", length, "seconds of drawn events")->capture_default_str();
     app.add_flag("--cost", costs, "what the fleet costs a sidecar, off and on");
     app.add_flag("--show", show, "print the drawn schedule, play nothing");
+    CouncilWish council;
+    bool leases = false;
+    int gaps = 0;
+    app.add_flag("--leases", leases, "planners and holders of leases, in place of a fleet of sidecars");
+    app.add_option("--planners", council.planners, "how many")
+        ->check(CLI::Range(3, 9))
+        ->capture_default_str();
+    app.add_option("--holders", council.holders, "how many")->check(CLI::Range(2, 40))->capture_default_str();
+    app.add_option("--gaps", gaps, "time without a holder, over so many kills, stops and cuts");
     CLI11_PARSE(app, argc, argv);
+    // What comes with the rig lies beside it.
+    const auto beside = std::filesystem::path(argv[0]).parent_path();
+    council.program = wish.program;
+    council.holder = (beside / "tideline_holder").string();
+    council.baddisk = (beside / "libtideline_baddisk.so").string();
     bool good = true;
     int played = 0;
     try {
+        if (gaps > 0) {
+            measure_gaps(council, gaps);
+            return 0;
+        }
+        if (leases) {
+            if (!schedule.empty()) {
+                std::ifstream file(schedule);
+                good &= play_council(council, schedule,
+                                     read_schedule({std::istreambuf_iterator<char>(file), {}},
+                                                   council.planners + council.holders));
+                ++played;
+            }
+            if (!scenario.empty()) good &= play_leases(council, scenario, played);
+            for (int i = 0; schedule.empty() && scenario.empty() && i < seeds; ++i, ++wish.seed, ++played) {
+                council.seed = wish.seed;
+                const auto events = drawn_council(wish.seed, council.planners, council.holders, length);
+                if (!show)
+                    good &= play_council(council, fmt::format("leases, seed {}", wish.seed), events);
+                else
+                    for (const Event& event : events) fmt::print("{}\n", text_of(event));
+            }
+            if (played > 0) return good ? 0 : 1;
+            fmt::print(stderr, "tideline_rig: no scenario {}\n", scenario);
+            return 2;
+        }
         if (costs) {
             cost(wish);
             return 0;
--- a/tools/rig/schedule.cpp
+++ b/tools/rig/schedule.cpp
@@ -12,11 +12,31 @@
 namespace {
 
 // How many numbers follow each word, and how many of them are members.
-const std::map<std::string, std::pair<std::size_t, std::size_t>> kWords = {
-    {"kill", {1, 1}},  {"start", {1, 1}}, {"wipe", {1, 1}}, {"term", {1, 1}},   {"stop", {1, 1}},
-    {"go", {1, 1}},    {"cut", {2, 2}},   {"heal", {2, 2}}, {"split", {1, 1}},  {"slow", {2, 1}},
-    {"mute", {1, 1}},  {"speak", {1, 1}}, {"lie", {1, 1}},  {"pod", {0, 0}},    {"drain", {0, 0}},
-    {"offer", {1, 0}}, {"stage", {1, 0}}, {"back", {0, 0}}, {"release", {0, 0}}};
+const std::map<std::string, std::pair<std::size_t, std::size_t>> kWords = {{"kill", {1, 1}},
+                                                                           {"start", {1, 1}},
+                                                                           {"wipe", {1, 1}},
+                                                                           {"term", {1, 1}},
+                                                                           {"stop", {1, 1}},
+                                                                           {"go", {1, 1}},
+                                                                           {"cut", {2, 2}},
+                                                                           {"heal", {2, 2}},
+                                                                           {"split", {1, 1}},
+                                                                           {"slow", {2, 1}},
+                                                                           {"mute", {1, 1}},
+                                                                           {"speak", {1, 1}},
+                                                                           {"lie", {1, 1}},
+                                                                           {"pod", {0, 0}},
+                                                                           {"drain", {0, 0}},
+                                                                           {"offer", {1, 0}},
+                                                                           {"stage", {1, 0}},
+                                                                           {"back", {0, 0}},
+                                                                           {"release", {0, 0}},
+                                                                           // Of planners and holders.
+                                                                           {"mark", {1, 1}},
+                                                                           {"release-task", {1, 1}},
+                                                                           {"admit", {1, 1}},
+                                                                           {"take-away", {0, 0}},
+                                                                           {"disk", {2, 1}}};
 
 }  // namespace
 
--- /dev/null
+++ b/tools/worlds/leases.cpp
@@ -0,0 +1,274 @@
+#include "worlds/leases.hpp"
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include "council/world.hpp"
+
+namespace tideline::worlds {
+namespace {
+
+using simulated::Council;
+using simulated::CouncilTerms;
+using simulated::Sent;
+
+constexpr int kPlanners = 3, kMembers = 2;
+constexpr double kStep = 1;  // s: time moves on in such steps
+
+CouncilTerms terms() {
+    CouncilTerms all;
+    all.planners = kPlanners, all.members = kMembers;
+    // Clocks far apart, so that a few steps of time show what the drift can do.
+    all.drift = 0.2;
+    all.office.leases = {3, 0.2, 100, 100};
+    // Elections and a leader's messages happen when the search says so, in every order.
+    all.office.log = {1e9, 1e9, 2e9, 128, false};
+    all.lessee = {100, 100, 100};
+    return all;
+}
+
+std::string name_of(int node) {
+    return node < 0 ? "any" : node < kPlanners ? fmt::format("p{}", node + 1) : fmt::format("m{}", node);
+}
+std::string what_of(const Sent& sent) {
+    wire::Word word;
+    word.ParseFromString(sent.bytes);
+    const wire::Planning& p = word.planning();
+    const std::string reign = fmt::format(" in reign {}", p.reign());
+    if (p.has_vote_ask()) return "asks for a vote" + reign;
+    if (p.has_vote_answer()) return (p.vote_answer().granted() ? "votes" : "does not vote") + reign;
+    if (p.has_tell())
+        return fmt::format("tells {} records from {}, committed {}, round {}", p.tell().records_size(),
+                           p.tell().before() + 1, p.tell().committed(), p.tell().round()) +
+               reign;
+    if (p.has_tell_snapshot())
+        return fmt::format("tells a snapshot to {}", p.tell_snapshot().snapshot().last()) + reign;
+    if (p.has_tell_answer())
+        return fmt::format("has {}{}, round {}", p.tell_answer().reached(),
+                           p.tell_answer().fits() ? "" : " (no fit)", p.tell_answer().round()) +
+               reign;
+    if (word.has_lease_ask()) {
+        constexpr const char* kWords[] = {"asks for it", "renews it", "gives it back", "waits no more"};
+        const auto what = static_cast<std::size_t>(word.lease_ask().what());
+        return fmt::format("{}, question {}", what < 4 ? kWords[what] : "raises or clears",
+                           word.lease_ask().no() & 0xfffff);
+    }
+    if (word.has_lease_answer()) {
+        constexpr const char* kWords[] = {"granted", "waiting", "over", "not now", "refused"};
+        return fmt::format("{} fence {} to question {}", kWords[word.lease_answer().what()],
+                           word.lease_answer().fence(), word.lease_answer().no() & 0xfffff);
+    }
+    return fmt::format("your turn, fence {}", word.turn().fence());
+}
+
+struct World {
+    World() : council(terms()) {}
+    World(const World&) = default;
+
+    void collect() {
+        for (Sent& sent : council.take_sent()) flying.insert(std::move(sent));
+    }
+    std::vector<Event<World>> events() const;
+    std::string state() const {
+        std::string text = council.state();
+        for (const Sent& sent : flying) text += fmt::format("{}>{}:", sent.from, sent.to) + sent.bytes + "|";
+        return text + fmt::format("{}.{}.{}.{}.{}.{}.{}", left.elections, left.beats, left.crashes,
+                                  left.wipes, left.steps, left.repeats, left.wishes);
+    }
+    std::string fault(const World&) const { return council.fault(); }
+    // Everything that is on its way or is to be stored, but for what goes to or comes from those.
+    bool settle(Search<World>& search, const std::set<std::string>& but);
+
+    Council council;
+    std::multiset<Sent> flying;
+    Budgets left;
+};
+
+std::vector<Event<World>> World::events() const {
+    std::vector<Event<World>> events;
+    const auto add = [&](std::string text, std::function<void(World&)> happens) {
+        events.push_back({std::move(text), [happens = std::move(happens)](World& world) {
+                              happens(world);
+                              world.collect();
+                          }});
+    };
+    const Sent* before = nullptr;
+    for (const Sent& sent : flying) {
+        if (before && !(*before < sent)) continue;  // the same once more
+        before = &sent;
+        for (int to = 0; to < council.nodes(); ++to) {
+            const bool meant = sent.to == to || (sent.to < 0 && to < kPlanners && council.up(to) &&
+                                                 council.office(to)->log().leads());
+            if (!meant || !council.up(to)) continue;
+            const std::string text =
+                fmt::format("{} to {}: {}", name_of(sent.from), name_of(to), what_of(sent));
+            add(text, [sent, to](World& w) {
+                w.flying.erase(w.flying.find(sent));
+                w.council.deliver(sent, to);
+            });
+            if (left.repeats > 0)
+                add(text + ", and again later", [sent, to](World& w) {
+                    --w.left.repeats;
+                    w.council.deliver(sent, to);
+                });
+        }
+    }
+    for (int i = 0; i < kPlanners; ++i) {
+        const std::string who = name_of(i);
+        if (council.writes(i)) add(who + " has stored", [i](World& w) { w.council.disk_done(i); });
+        if (council.up(i) && !council.office(i)->log().leads() && left.elections > 0 && i < left.elected)
+            add(who + " stands", [i](World& w) { --w.left.elections, w.council.stand(i); });
+        if (council.up(i) && council.office(i)->log().leads() && left.beats > 0)
+            add(who + " beats", [i](World& w) { --w.left.beats, w.council.beat(i); });
+        if (council.up(i) && left.crashes > 0)
+            add(who + " crashes", [i](World& w) { --w.left.crashes, w.council.crash(i); });
+        if (!council.up(i)) {
+            add(who + " starts", [i](World& w) { w.council.start(i); });
+            if (left.wipes > 0) add(who + " is wiped", [i](World& w) { --w.left.wipes, w.council.wipe(i); });
+        }
+    }
+    for (int i = kPlanners; i < council.nodes(); ++i) {
+        const std::string who = name_of(i);
+        if (left.wishes > 0)
+            add(who + (council.wants(i) ? " wants it no more" : " wants it"), [i](World& w) {
+                --w.left.wishes;
+                w.council.want(i, !w.council.wants(i));
+            });
+        if (council.may_act(i) && !council.acts(i)) {
+            add(who + " asks its guard", [i](World& w) { w.council.guard(i); });
+            if (left.beats > 0)
+                add(who + " renews", [i](World& w) {
+                    --w.left.beats;
+                    w.council.renew_now(i);
+                });
+        }
+        if (council.acts(i)) add(who + " acts", [i](World& w) { w.council.act(i); });
+    }
+    if (left.steps > 0)
+        add("a step of time", [](World& w) {
+            --w.left.steps;
+            w.council.time_is(w.council.now() + kStep);
+            for (int i = 0; i < w.council.nodes(); ++i) w.council.tick(i);
+        });
+    return events;
+}
+
+bool World::settle(Search<World>& search, const std::set<std::string>& but) {
+    for (;;) {
+        std::string next;
+        for (const auto& event : events()) {
+            const std::string& text = event.text;
+            const bool moves = text.find(" to ") != std::string::npos || text.ends_with(" has stored");
+            const bool kept = std::any_of(but.begin(), but.end(), [&](const std::string& each) {
+                return text.starts_with(each + " ") || text.find(" to " + each + ":") != std::string::npos;
+            });
+            if (!moves || kept || text.ends_with("and again later")) continue;
+            next = text;
+            break;
+        }
+        if (next.empty()) return true;
+        if (!search.happens(*this, next)) return false;
+    }
+}
+bool run(World& world, Search<World>& search, const std::vector<std::string>& events) {
+    for (const std::string& text : events) {
+        if (!text.starts_with("settle")) {
+            if (!search.happens(world, text)) return false;
+            continue;
+        }
+        std::istringstream words(text);
+        std::set<std::string> but;
+        for (std::string word; words >> word;)
+            if (word != "settle" && word != "but") but.insert(word);
+        if (!world.settle(search, but)) return false;
+    }
+    return true;
+}
+
+const Budgets kPlenty{9, 9, 9, 9, 9, 0, 9, 3};  // while a beginning is brought about
+
+}  // namespace
+
+std::vector<Beginning> beginnings() {
+    const std::vector<std::string> led{"p1 stands", "settle"};
+    const auto then = [](std::vector<std::string> begun, const std::vector<std::string>& more) {
+        begun.insert(begun.end(), more.begin(), more.end());
+        return begun;
+    };
+    const auto held = then(led, {"m3 wants it", "settle", "m4 wants it", "settle"});
+    const std::vector<std::string> steps(4, "a step of time");
+    return {
+        {"votes", "nobody leads", {}, {2, 0, 1, 0, 0, 0, 0, 2}, 12},
+        {"elections", "nobody leads, any may stand", {}, {3, 0, 1, 0, 0, 1, 0, 3}, 8},
+        {"grants",
+         "p1 leads and both members want it",
+         then(led, {"m3 wants it", "m4 wants it"}),
+         {1, 0, 1, 0, 2, 0, 0, 2},
+         9},
+        {"holding", "m3 holds it under p1 and m4 waits", held, {1, 2, 0, 0, 5, 0, 1, 2}, 8},
+        {"deposed",
+         "p2 leads too, p1 does not know, m3 holds it under p1",
+         then(held, {"p2 stands", "settle but p1 m3 m4"}),
+         {0, 2, 0, 0, 5, 0, 0, 2},
+         9},
+        {"renewing",
+         "m3 renews at p1 while p2 is elected and m4 waits",
+         then(held, {"m3 renews", "p2 stands", "settle but p1 m3 m4"}),
+         {0, 1, 0, 0, 5, 0, 0, 2},
+         9},
+        {"overdue",
+         "m3 does not renew, and almost all of its time is over",
+         then(held, {"a step of time", "a step of time", "a step of time", "settle but m3"}),
+         {0, 1, 0, 0, 2, 0, 0, 2},
+         7},
+        {"fence",
+         "m3 has asked its guard and stands still, m4 holds it meanwhile",
+         then(then(held, {"m3 asks its guard"}), then(steps, {"settle but m3"})),
+         {0, 1, 0, 0, 3, 0, 0, 2},
+         8},
+        {"late answer",
+         "an answer to m3 is on its way until m4 holds it",
+         then(then(held, {"m3 renews", "settle but m3"}), then(steps, {"settle but m3"})),
+         {0, 1, 0, 0, 2, 0, 0, 2},
+         7},
+        {"wiped",
+         "p1 and p3 granted it to m3, then p3 lost its disk",
+         then({"p1 stands", "settle but p2", "m3 wants it", "settle but p2"},
+              {"p3 crashes", "p3 is wiped", "p3 starts"}),
+         {1, 0, 0, 0, 0, 0, 0, 3},
+         10},
+        {"late give-back",
+         "m3 gave it back by a word that is on its way, and wants it again",
+         then(held, {"m3 wants it no more", "m3 wants it"}),
+         {0, 1, 0, 0, 5, 0, 0, 2},
+         8},
+    };
+}
+
+Found search_leases(const Beginning& beginning, int depth, std::size_t most) {
+    Search<World> search(most);
+    World world;
+    world.left = kPlenty;
+    if (!run(world, search, beginning.events)) return search.found(false);
+    world.left = beginning.budgets;
+    return search.found(search.from(world, depth));
+}
+
+bool replay(const std::string& path) {
+    std::ifstream file(path);
+    if (!file) throw std::runtime_error("can't read " + path);
+    Search<World> search(0);
+    World world;
+    world.left = kPlenty;
+    world.left.repeats = 9;
+    for (std::string line; std::getline(file, line);) {
+        const auto from = line.find_first_not_of(' ');
+        if (from == std::string::npos || line[from] == '#') continue;
+        if (!search.happens(world, line.substr(from))) return false;
+    }
+    fmt::print("worlds: {} events: all hold\n", search.way().size());
+    return true;
+}
+
+}  // namespace tideline::worlds
--- /dev/null
+++ b/tools/worlds/leases.hpp
@@ -0,0 +1,29 @@
+// Every order in small worlds of planners and leases: three planners, two members, messages that come in any
+// order, twice or never, disks that lose what was not stored, crashes, a wiped disk, clocks that run apart.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "worlds/search.hpp"
+
+namespace tideline::worlds {
+
+// How often each of the things that are not messages may happen in one order.
+struct Budgets {
+    int elections = 0, beats = 0, crashes = 0, wipes = 0, steps = 0, repeats = 0, wishes = 0;
+    int elected = 3;  // planners that may stand: the first so many
+};
+// Where a search begins: what has happened already, and what may follow.
+struct Beginning {
+    std::string name, about;
+    std::vector<std::string> events;  // texts; "settle": all that is on its way arrives; "settle but p1 m4"
+    Budgets budgets;
+    int depth = 0;
+};
+std::vector<Beginning> beginnings();
+Found search_leases(const Beginning& beginning, int depth, std::size_t most);
+// Runs a schedule, one event a line. True if all held.
+bool replay(const std::string& path);
+
+}  // namespace tideline::worlds
