--- a/src/consensus/words.hpp
+++ b/src/consensus/words.hpp
@@ -68,6 +68,7 @@
     Promise promise;
     Snapshot snapshot;            // last 0: none
     std::vector<Record> records;  // from snapshot.last + 1 on
+    bool operator==(const Kept&) const = default;
 };
 
 }  // namespace tideline::consensus
--- a/src/fleet/duties.cpp
+++ b/src/fleet/duties.cpp
@@ -1,6 +1,7 @@
 #include "fleet/duties.hpp"
 
 #include <limits>
+#include <utility>
 
 namespace tideline::fleet {
 namespace {
@@ -106,6 +107,8 @@
     pace_.tick(now);
     // Right before the act, with its fence. Who has no share yet is asked what it sends.
     const auto fence = tenant_.may_act(kWarming);
+    if (fence && std::exchange(dealt_under_, *fence) != *fence)
+        log_.line("warming: deals out paces under fence {}", fence->value);
     if (fence)
         for (const Name& each : owner_.here()) {
             wire::Paces& paces = dealt_[each];
--- a/src/fleet/duties.hpp
+++ b/src/fleet/duties.hpp
@@ -64,6 +64,7 @@
     warming::Pace pace_;
     lease::Gate gate_;
     std::map<Name, wire::Paces> dealt_;  // to be sent, once the deal is done
+    lease::Fence dealt_under_;           // told in the log once
     std::map<std::string, std::string> texts_;
     Stretch sent_;
     net::Due::Key ring_ = net::Due::kNone;
--- a/src/warming/pace.cpp
+++ b/src/warming/pace.cpp
@@ -55,7 +55,14 @@
 void Pace::deal(Seconds now, const PodId& id, Pod& pod) {
     double all = 0;
     for (const auto& [name, heard] : members_) all += heard.sent;
-    if (all <= 0) return;
+    if (all <= 0) {
+        // Nothing is known to share out by: each is on its own, as with no word.
+        for (auto& [name, dealt] : pod.dealt) {
+            host_.give(name, id, 0, 0);
+            if (dealt.most > 0) dealt.most = 0, dealt.since = now;
+        }
+        return;
+    }
     const double most = std::floor(most_of(now, id));
     std::map<Name, double> wanted;
     double given = 0;
@@ -74,9 +81,9 @@
     for (const auto& [name, want] : wanted) {
         Dealt& dealt = pod.dealt[name];
         if (want > dealt.most) {
-            // What it has in force still may be raised to at no cost; more only from what is free.
-            const double free = std::max(0.0, most - in_force);
-            const double more = std::min(want, std::max(dealt.most, dealt.in_force + std::floor(free)));
+            // Danger: also what it has in force itself was given under a bound that may be gone by now.
+            const double others = in_force - dealt.in_force;
+            const double more = std::clamp(std::floor(most - others), dealt.most, want);
             in_force += std::max(0.0, more - dealt.in_force);
             dealt.in_force = std::max(dealt.in_force, more);
             dealt.most = std::max(dealt.most, more);
--- /dev/null
+++ b/tests/raft.cpp
@@ -0,0 +1,226 @@
+// The planners' common log by itself: elections, what is stored before it is said, catching up, changes of
+// who the planners are. All orders of it are searched in tools/worlds and drawn in tools/virtual.
+#include "consensus/raft.hpp"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace tideline::test {
+namespace {
+
+using namespace consensus;
+
+Peer peer(int number) { return {static_cast<std::uint64_t>(number)}; }
+
+struct Net {
+    struct Node : RaftPost, RaftState {
+        Node(Net& all, int its_number) : net(all), number(its_number) {}
+        void ask_vote(Peer to, Reign reign, LogIndex last, Reign last_reign, bool rehearsal) override {
+            net.send(number, to, [=, from = peer(number)](Node& node) {
+                node.raft->vote_asked(node.net.now, from, to, reign, last, last_reign, rehearsal);
+            });
+        }
+        void answer_vote(Peer to, Reign reign, bool granted, bool rehearsal) override {
+            ++votes_said;
+            net.send(number, to, [=, from = peer(number)](Node& node) {
+                node.raft->vote_answered(node.net.now, from, to, reign, granted, rehearsal);
+            });
+        }
+        void tell(Peer to, Reign reign, LogIndex before, Reign before_reign,
+                  const std::vector<Record>& records, LogIndex committed, Round round) override {
+            net.send(number, to, [=, from = peer(number)](Node& node) {
+                node.raft->told(node.net.now, from, to, reign, before, before_reign, records, committed,
+                                round);
+            });
+        }
+        void tell_snapshot(Peer to, Reign reign, const Snapshot& snapshot, Round round) override {
+            ++snapshots_said;
+            net.send(number, to, [=, from = peer(number)](Node& node) {
+                node.raft->snapshot_told(node.net.now, from, to, reign, snapshot, round);
+            });
+        }
+        void answer_tell(Peer to, Reign reign, bool fits, LogIndex reached, Round round) override {
+            ++acks_said;
+            net.send(number, to, [=, from = peer(number)](Node& node) {
+                node.raft->tell_answered(node.net.now, from, to, reign, fits, reached, round);
+            });
+        }
+        void store(StoreNo no, const Storing&) override { asked = no; }
+        void note(const std::string&) override {}
+        void apply(LogIndex, const Record& record) override {
+            if (record.kind == RecordKind::command) came_to += record.body;
+        }
+        void restore(const Snapshot& snapshot) override { came_to = snapshot.state; }
+        void write() {
+            if (asked > done) done = asked, raft->stored(net.now, done);
+        }
+        Net& net;
+        const int number;
+        std::unique_ptr<Raft> raft;
+        StoreNo asked, done;
+        std::string came_to;
+        int votes_said = 0, acks_said = 0, snapshots_said = 0;
+    };
+    explicit Net(int count, int voters = 0) {
+        Council seats;
+        for (int i = 1; i <= (voters > 0 ? voters : count); ++i)
+            seats[peer(i)] = {Name{"p" + std::to_string(i)}, "a", true};
+        for (int i = 1; i <= count; ++i) {
+            nodes.push_back(std::make_unique<Node>(*this, i));
+            Kept kept;
+            if (seats.contains(peer(i))) kept.snapshot = {{1}, {1}, seats, ""};
+            Node& node = *nodes.back();
+            node.raft = std::make_unique<Raft>(node, node, RaftTerms{}, peer(i), kept, 7, now);
+        }
+    }
+    Node& at(int number) { return *nodes[static_cast<std::size_t>(number - 1)]; }
+    Raft& raft(int number) { return *at(number).raft; }
+    void send(int from, Peer to, std::function<void(Node&)> call) {
+        const int number = static_cast<int>(to.value);
+        if (!cut.contains(from) && !cut.contains(number)) flying.emplace_back(number, std::move(call));
+    }
+    void settle(bool writes = true) {
+        for (bool moved = true; moved;) {
+            moved = false;
+            while (!flying.empty()) {
+                const auto [to, call] = flying.front();
+                flying.pop_front();
+                call(at(to));
+                moved = true;
+            }
+            for (auto& node : nodes)
+                if (writes && node->asked > node->done) node->write(), moved = true;
+        }
+    }
+    void pass(Seconds span) {
+        for (const Seconds until = now + span; now < until; now += 0.05) {
+            for (auto& node : nodes)
+                if (now >= node->raft->due()) node->raft->tick(now);
+            settle();
+        }
+    }
+    int leader() {
+        int found = 0;
+        for (auto& node : nodes)
+            if (node->raft->leads() && !cut.contains(node->number)) found = node->number;
+        return found;
+    }
+    Seconds now = 100;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::deque<std::pair<int, std::function<void(Node&)>>> flying;
+    std::set<int> cut;
+};
+
+}  // namespace
+
+TEST_CASE("one leads, and what it commits all come to", "[raft]") {
+    Net net(5);
+    net.pass(3);
+    REQUIRE(net.leader() > 0);
+    net.raft(net.leader()).propose("a");
+    net.raft(net.leader()).propose("b");
+    net.pass(0.5);
+    for (int i = 1; i <= 5; ++i) CHECK(net.at(i).came_to == "ab");
+}
+
+TEST_CASE("nothing is promised before it is on the disk", "[raft]") {
+    Net net(3);
+    net.raft(1).election_time_up(net.now);
+    net.settle(false);  // rehearsed; its own promise is not stored yet
+    CHECK(net.at(2).votes_said == 1);
+    net.at(1).write();
+    net.settle(false);
+    CHECK(net.at(2).votes_said == 1);  // asked, granted, not yet said
+    net.at(2).write();
+    net.settle(false);
+    REQUIRE(net.raft(1).leads());
+    const int acks = net.at(2).acks_said;
+    net.at(2).write();
+    net.settle(false);
+    CHECK(net.at(2).acks_said > acks);
+    CHECK(net.raft(1).committed() ==
+          LogIndex{1});  // its own disk and one other's: the other has it, its own not
+    net.at(1).write();
+    CHECK(net.raft(1).committed() == LogIndex{2});
+}
+
+TEST_CASE("a leader that reaches no majority resigns, and what it did not commit goes", "[raft]") {
+    Net net(3);
+    net.pass(3);
+    const int old = net.leader();
+    net.cut = {old};
+    net.raft(old).propose("lost");
+    net.pass(4);
+    CHECK_FALSE(net.raft(old).leads());
+    REQUIRE(net.leader() > 0);
+    net.raft(net.leader()).propose("kept");
+    net.pass(0.5);
+    const Reign reign = net.raft(net.leader()).reign();
+    net.cut = {};
+    net.pass(2);
+    for (int i = 1; i <= 3; ++i) CHECK(net.at(i).came_to == "kept");
+    // One that was away did not unseat it: it rehearsed in vain.
+    CHECK(net.raft(net.leader()).reign() == reign);
+}
+
+TEST_CASE("one that was away for long gets the snapshot and the rest", "[raft]") {
+    Net net(3);
+    net.pass(3);
+    const int leads = net.leader(), away = leads == 3 ? 2 : 3;
+    net.cut = {away};
+    std::string all;
+    for (int i = 0; i < 40; ++i) {
+        net.raft(leads).propose(std::string(1, static_cast<char>('a' + i % 26)));
+        all += static_cast<char>('a' + i % 26);
+        net.settle();
+    }
+    net.raft(leads).compact(net.raft(leads).applied(), net.at(leads).came_to);
+    net.raft(leads).propose("!");
+    net.settle();
+    net.cut = {};
+    net.pass(1);
+    CHECK(net.at(leads).snapshots_said > 0);
+    CHECK(net.at(away).came_to == all + "!");
+    CHECK(net.raft(away).council().size() == 3);
+}
+
+TEST_CASE("voters change one at a time, and a removed one leads no more", "[raft]") {
+    Net net(4, 3);
+    net.pass(3);
+    Raft& raft = net.raft(net.leader());
+    Council next = raft.council();
+    next[peer(4)] = {Name{"p4"}, "a", true};
+    Council two = next;
+    two.erase(peer(net.leader()));
+    CHECK_FALSE(raft.change(two));  // two votes differ
+    REQUIRE(raft.change(next));
+    CHECK_FALSE(raft.change(two));  // the first is not committed yet
+    net.pass(1);
+    CHECK(net.raft(4).votes());
+    const int was = net.leader();
+    REQUIRE(net.raft(was).change(two));
+    net.pass(3);
+    CHECK_FALSE(net.raft(was).leads());
+    REQUIRE(net.leader() > 0);
+    CHECK(net.leader() != was);
+    CHECK_FALSE(net.raft(net.leader()).change({}));  // somebody has to vote
+}
+
+TEST_CASE("a round that began later is confirmed by a majority only", "[raft]") {
+    Net net(3);
+    net.pass(3);
+    const int leads = net.leader();
+    const Round first = net.raft(leads).confirm();
+    CHECK(net.raft(leads).confirmed() < first);
+    net.settle();
+    CHECK(net.raft(leads).confirmed() >= first);
+    net.cut = {leads};
+    const Round second = net.raft(leads).confirm();
+    net.settle();
+    CHECK(net.raft(leads).confirmed() < second);
+}
+
+}  // namespace tideline::test
--- a/tools/rig/baddisk.cpp
+++ b/tools/rig/baddisk.cpp
@@ -1,18 +1,22 @@
 // Loaded before a planner by the rig (LD_PRELOAD): what the disk and the clock of the day do to it while the
 // file named by TIDELINE_BADDISK holds one of these words.
 //   fsync: every fsync fails    full: no write finds room    back: the time of day is an hour earlier
+// At its end it writes how often it had called fsync to the file named by TIDELINE_FSYNCS.
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <sys/types.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <ctime>
 
 namespace {
 
+long fsyncs = 0;
+
 bool is(const char* word) {
     static const char* const path = std::getenv("TIDELINE_BADDISK");
     if (!path) return false;
@@ -28,17 +32,25 @@
     return reinterpret_cast<Function>(::dlsym(RTLD_NEXT, name));
 }
 
+__attribute__((destructor)) void tell_fsyncs() {
+    const char* const path = std::getenv("TIDELINE_FSYNCS");
+    if (!path) return;
+    if (std::FILE* file = std::fopen(path, "w")) std::fprintf(file, "%ld", fsyncs), std::fclose(file);
+}
+
 }  // namespace
 
 extern "C" {
 
 int fsync(int fd) {
     static const auto real = next<int (*)(int)>("fsync");
+    ++fsyncs;
     if (is("fsync")) return errno = EIO, -1;
     return real(fd);
 }
 int fdatasync(int fd) {
     static const auto real = next<int (*)(int)>("fdatasync");
+    ++fsyncs;
     if (is("fsync")) return errno = EIO, -1;
     return real(fd);
 }
--- a/tools/rig/council.hpp
+++ b/tools/rig/council.hpp
@@ -22,6 +22,8 @@
     int planners = 5, holders = 6;
     std::uint32_t seed = 1;
     bool keep = false;
+    bool direct = false;  // past the relay: for measurements
+    int before = 0;       // hosts that are others': node 1 is at the next one
 };
 
 // The times that they are told; short, so that a run is.
@@ -57,6 +59,8 @@
     int node_of(const std::string& name) const;
     double cpu_of(int node) const;  // s
     bool is_planner(int node) const { return node <= wish.planners; }
+    int host_of(int node) const { return wish.before + node; }  // also its number at the relay
+    std::vector<std::string> addresses() const;                 // of the planners, as they are dialled
 
     net::Loop& loop;
     const CouncilWish wish;
--- /dev/null
+++ b/tools/rig/grants.cpp
@@ -0,0 +1,199 @@
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sqlite3.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include "fleet/frame.hpp"
+#include "fleet/wire.hpp"
+#include "lease/words.hpp"
+#include "planner/vault.hpp"
+#include "rig/leases.hpp"
+
+namespace tideline::rig {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+double since(Clock::time_point from) { return std::chrono::duration<double>(Clock::now() - from).count(); }
+
+// Takes and gives back so many leases at once over one connection, again and again.
+class Taker : public net::Link {
+  public:
+    Taker(net::Loop& loop, const net::Address& address, int at_once) : Link(loop), at_once_(at_once) {
+        open(address);
+        for (int i = 0; i < at_once_; ++i) ask(i, wire::LeaseAsk::TAKE, 0);
+    }
+    long grants = 0, turned_away = 0;
+    bool is_over = false;
+    std::vector<double> took;  // s, from a take to its grant
+
+  protected:
+    void came_in() override {
+        std::string_view body;
+        std::string why;
+        for (std::size_t used = 0;
+             fleet::next_frame(in_.all(), 1 << 20, body, used, why) == fleet::FrameRead::whole;) {
+            wire::Word word;
+            fleet::read_word(body, word);
+            in_.drop(used);
+            const auto& answer = word.lease_answer();
+            const int which = static_cast<int>(answer.no() % 1000);
+            switch (static_cast<lease::Answer>(answer.what())) {
+                case lease::Answer::granted:
+                    ++grants;
+                    took.push_back(net::clock_now() - asked_[which]);
+                    ask(which, wire::LeaseAsk::GIVE_BACK, answer.fence());
+                    break;
+                case lease::Answer::over:
+                    ask(which, wire::LeaseAsk::TAKE, 0);
+                    break;
+                default:  // its give-back is still on its way through the log, or there is no leader
+                    ++turned_away;
+                    loop_.due.at(net::clock_now() + 0.002,
+                                 [this, which] { ask(which, wire::LeaseAsk::TAKE, 0); });
+            }
+        }
+    }
+    void ended() override { is_over = true; }
+
+  private:
+    void ask(int which, wire::LeaseAsk::What what, std::uint64_t fence) {
+        if (closed()) return;
+        wire::Word word;
+        wire::LeaseAsk& ask = *word.mutable_lease_ask();
+        ask.set_what(what), ask.set_lease(fmt::format("task-{}", which)), ask.set_fence(fence);
+        // Each round as another member: whoever gave back may not use the same fence again.
+        if (what == wire::LeaseAsk::TAKE) ++rounds_[which], asked_[which] = net::clock_now();
+        ask.set_no(static_cast<std::uint64_t>(rounds_[which]) * 1000 + static_cast<std::uint64_t>(which));
+        ask.set_member(fmt::format("m{}", which)), ask.set_life(static_cast<std::uint64_t>(rounds_[which]));
+        put(fleet::frame_with(word));
+    }
+    const int at_once_;
+    std::map<int, long> rounds_;
+    std::map<int, double> asked_;
+};
+
+void planners(CouncilWish wish, int count, int at_once, Seconds span) {
+    wish.planners = count, wish.holders = 0, wish.direct = true, wish.keep = true;
+    net::Loop loop;
+    CouncilWorld world(loop, wish);
+    world.begin();
+    const int leads = world.leader();
+    Taker taker(loop, stand::at_port(leads, kFleetPort, kListenNet), at_once);
+    world.run(0.5);
+    taker.grants = 0;
+    taker.took.clear();
+    const auto fsyncs_at = [&](int node) {
+        std::ifstream file(fmt::format("{}/{}.fsyncs", world.folder, world.name_of(node)));
+        long fsyncs = 0;
+        file >> fsyncs;
+        return fsyncs;
+    };
+    const auto from = Clock::now();
+    world.run(span);
+    const double took = since(from);
+    const long grants = taker.grants;
+    std::vector<double> times = taker.took;
+    std::sort(times.begin(), times.end());
+    taker.close();
+    const double cpu = world.cpu_of(leads);
+    for (int i = 1; i <= count; ++i) world.processes[static_cast<std::size_t>(i)]->signal(SIGTERM);
+    world.run(1);
+    const auto at = [&](double part) {
+        return times.empty()
+                   ? 0
+                   : 1e3 * times[static_cast<std::size_t>(part * static_cast<double>(times.size() - 1))];
+    };
+    // fsyncs over the whole life of the leader's process, which did little else.
+    fmt::print("| {} planners | {} | {:.0f} | {:.2f} | {:.2f} | {:.1f} | {:.2f} |\n", count, at_once,
+               static_cast<double>(grants) / took, at(0.5), at(0.99),
+               static_cast<double>(fsyncs_at(leads)) / static_cast<double>(std::max(1L, grants)) * took /
+                   (took + 0.5),
+               cpu / static_cast<double>(std::max(1L, grants)) * 1e3);
+    std::fflush(stdout);
+    std::filesystem::remove_all(world.folder);
+}
+
+// The baseline: one process, one SQLite file, a transaction a grant and one a give-back.
+void one_file(const std::string& folder, Seconds span) {
+    sqlite3* db = nullptr;
+    sqlite3_open((folder + "/one.db").c_str(), &db);
+    const auto run = [&](const char* sql) { sqlite3_exec(db, sql, nullptr, nullptr, nullptr); };
+    run("PRAGMA locking_mode = EXCLUSIVE; PRAGMA journal_mode = PERSIST; PRAGMA synchronous = FULL");
+    run("CREATE TABLE lease (name TEXT PRIMARY KEY, holder TEXT, fence INTEGER)");
+    std::vector<double> times;
+    const auto from = Clock::now();
+    long grants = 0;
+    while (since(from) < span) {
+        const auto begun = Clock::now();
+        run(fmt::format("INSERT OR REPLACE INTO lease VALUES ('task', 'm', {})", ++grants).c_str());
+        times.push_back(since(begun));
+        run("UPDATE lease SET holder = NULL WHERE name = 'task'");
+    }
+    sqlite3_close(db);
+    std::sort(times.begin(), times.end());
+    fmt::print("| one SQLite file, no copies | 1 | {:.0f} | {:.2f} | {:.2f} | | |\n",
+               static_cast<double>(grants) / span, 1e3 * times[times.size() / 2],
+               1e3 * times[times.size() * 99 / 100]);
+}
+
+consensus::Storing record(std::uint64_t at) {
+    consensus::Storing what;
+    what.first = {at};
+    what.records.push_back({{1}, consensus::RecordKind::command, std::string(60, 'x'), {}});
+    return what;
+}
+void kept(const char* name, const std::function<void(std::uint64_t)>& store, Seconds span) {
+    const auto from = Clock::now();
+    std::uint64_t count = 0;
+    while (since(from) < span) store(++count);
+    fmt::print("| {} | {:.0f} | {:.3f} |\n", name, static_cast<double>(count) / span,
+               1e3 * span / static_cast<double>(count));
+}
+
+}  // namespace
+
+void measure_grants(const CouncilWish& wish, Seconds span) {
+    char name[] = "/tmp/tideline-grants-XXXXXX";
+    if (!::mkdtemp(name)) throw std::runtime_error("no folder under /tmp");
+    const std::string folder = name;
+    fmt::print(
+        "one record of 60 bytes made to last, {} s each\n\n| way | a second | ms each |\n| --- | --- | --- "
+        "|\n",
+        span);
+    {
+        planner::Vault vault(folder + "/a", fleet::Name{"p"}, 1, planner::Vault::Seal::journal);
+        kept(
+            "SQLite, rollback journal (chosen)", [&](auto at) { vault.store({record(at)}); }, span);
+    }
+    {
+        planner::Vault vault(folder + "/b", fleet::Name{"p"}, 1, planner::Vault::Seal::ahead);
+        kept(
+            "SQLite, write-ahead log", [&](auto at) { vault.store({record(at)}); }, span);
+    }
+    {
+        const int fd = ::open((folder + "/log").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+        const std::string frame = fleet::frame_of(std::string(60, 'x'));
+        kept(
+            "own frames with XXH3, append and fdatasync",
+            [&](auto) { static_cast<void>(::write(fd, frame.data(), frame.size()) && ::fdatasync(fd)); },
+            span);
+        ::close(fd);
+    }
+    fmt::print(
+        "\n{} s a row; times from a take to its grant\n\n"
+        "| way | at once | grants a second | median, ms | p99, ms | fsyncs a grant, leader | CPU of the "
+        "leader, ms a "
+        "grant |\n| --- | --- | --- | --- | --- | --- | --- |\n",
+        span);
+    one_file(folder, span);
+    for (const int count : {3, 5})
+        for (const int at_once : {1, 16, 128}) planners(wish, count, at_once, span);
+    std::filesystem::remove_all(folder);
+}
+
+}  // namespace tideline::rig
--- a/tools/rig/leases.cpp
+++ b/tools/rig/leases.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 
 #include "lease/words.hpp"
+#include "rig/check.hpp"
 
 namespace tideline::rig {
 namespace {
@@ -320,6 +321,118 @@
     {"clock-back", clock_back},
     {"taken-away", taken_away}};
 
+// --- Sidecars with planners: what is done by one for all
+struct Fleet {
+    explicit Fleet(const CouncilWish& wish) : council(loop, planners_of(wish)), world(loop, fleet_of(wish)) {}
+    CouncilWish planners_of(CouncilWish wish) const {
+        wish.planners = 3, wish.holders = 0, wish.before = 200;
+        return wish;
+    }
+    Wish fleet_of(const CouncilWish& wish) const {
+        Wish all;
+        all.program = wish.program, all.members = 6, all.seed = wish.seed, all.keep = true;
+        all.planners = council.addresses(), all.ready_for = 3, all.rate = 25;
+        return all;
+    }
+    net::Loop loop;
+    CouncilWorld council;
+    World world;
+    std::vector<std::string> faults;
+    std::vector<std::pair<std::string, double>> figures;
+
+    void expect(bool holds, const std::string& what) {
+        if (!holds) faults.push_back(what);
+    }
+    // In how many lines of all members' logs it stands.
+    int lines(const std::string& text) const {
+        int count = 0;
+        for (int i = 1; i <= world.wish.members; ++i) {
+            const std::string log = world.log_of(i);
+            for (auto at = log.find(text); at != std::string::npos; at = log.find(text, at + 1)) ++count;
+        }
+        return count;
+    }
+    bool until(Seconds most, const std::function<bool()>& holds) { return world.run_until(most, holds); }
+    int holder(const std::string& lease) {
+        for (int i = 1; i <= council.wish.planners; ++i)
+            if (const auto table = council.table(i))
+                for (const auto& each : table->leases())
+                    if (each.name() == lease && each.now().fence() > 0)
+                        return council.node_of(each.now().holder().name());
+        return 0;
+    }
+};
+
+// A member dies, then whoever calls the roll: each alarm is raised once for the fleet, and cleared once.
+void roll_call(Fleet& play) {
+    const int calls = play.holder("roll-call"), dies = calls == 2 ? 3 : 2;
+    play.world.apply({0, "kill", {static_cast<double>(dies)}});
+    const std::string gone = fmt::format("ALARM roll call: n{} is gone", dies);
+    play.expect(play.until(15, [&] { return play.lines(gone) > 0; }), "no alarm for a member that is gone");
+    play.world.apply({0, "kill", {static_cast<double>(calls)}});
+    const std::string its = fmt::format("ALARM roll call: n{} is gone", calls);
+    const Seconds from = net::clock_now();
+    play.expect(play.until(15, [&] { return play.lines(its) > 0; }),
+                "no alarm for the one that called the roll");
+    play.figures.emplace_back("the one that called the roll is told as gone, s", net::clock_now() - from);
+    play.world.run(2);
+    play.expect(play.lines(gone) == 1 && play.lines(its) == 1,
+                fmt::format("raised {} and {} times, not once", play.lines(gone), play.lines(its)));
+    play.world.apply({0, "start", {static_cast<double>(dies)}});
+    play.world.apply({0, "start", {static_cast<double>(calls)}});
+    const std::string over = fmt::format("roll call: over: gone n{}", dies);
+    play.expect(play.until(15, [&] { return play.lines(over) > 0; }), "the alarm is not cleared");
+    play.world.run(1);
+    play.expect(play.lines(over) == 1, "cleared more than once");
+    bool stands = false;
+    play.until(10, [&] {
+        const auto table = play.council.table(1);
+        stands = table && table->raised_size() > 0;
+        return table && !stands;
+    });
+    play.expect(!stands, "an alarm still stands at the planners");
+}
+// Fresh pods come while the fleet works; whoever deals out their pace is killed in between, and then all
+// planners: with no word each is on its own, and no fresh pod gets more than its rule allows.
+void warming(Fleet& play) {
+    const std::size_t before = play.world.pods.size();
+    std::vector<Seconds> came;
+    for (int i = 0; i < 3; ++i) {
+        came.push_back(net::clock_now());
+        play.world.apply({0, "pod", {}});
+        play.world.run(1.2);
+        if (i == 0) play.world.apply({0, "kill", {static_cast<double>(play.holder("warming"))}});
+        if (i == 1)
+            for (int p = 1; p <= 3; ++p) play.council.apply({0, "kill", {static_cast<double>(p)}});
+    }
+    play.world.run(3);
+    play.expect(play.lines("deals out paces") >= 2, "paces were not dealt out by one after the other");
+    // What reached each fresh pod within any window of the rule, over an even share of what all pods got: the
+    // rule is broken beyond 4 times its present capacity.
+    double worst = 0;
+    const auto within = [&](const stand::PodStand& pod, Seconds from, Seconds to) {
+        return static_cast<double>(std::count_if(
+            pod.ran.begin(), pod.ran.end(), [&](auto& each) { return each.at >= from && each.at < to; }));
+    };
+    for (std::size_t i = before; i < play.world.pods.size(); ++i)
+        for (Seconds at = came[i - before]; at < came[i - before] + 3; at += 0.1) {
+            double all = 0;
+            for (const auto& pod : play.world.pods) all += within(*pod, at, at + 1);
+            const double even = all / static_cast<double>(play.world.pods.size());
+            const double capacity = 0.4 + 0.6 * std::min(1.0, (at - came[i - before]) / 3);
+            if (even > 0)
+                worst = std::max(worst, within(*play.world.pods[i], at, at + 1) / (even * capacity));
+        }
+    play.figures.emplace_back("most that reached a fresh pod, of its present share", worst);
+    play.expect(worst < 4, "a fresh pod got more than the rule allows");
+    for (int p = 1; p <= 3; ++p) play.council.apply({0, "start", {static_cast<double>(p)}});
+    for (int i = 1; i <= play.world.wish.members; ++i)
+        play.world.apply({0, "start", {static_cast<double>(i)}});
+}
+
+const std::vector<std::pair<std::string, void (*)(Fleet&)>> kFleetScenarios = {{"roll-call", roll_call},
+                                                                               {"warming", warming}};
+
 // All taken back, the lease has a holder again with nobody's help, but for the seat of a lost disk.
 void settle(Council& play) {
     CouncilWorld& world = play.world;
@@ -340,6 +453,37 @@
     play.expect(play.acts_within(kHealed), "nobody acts after all was healed");
     play.figure("well again, s", net::clock_now() - from);
 }
+bool play_fleet(const std::string& name, CouncilWish wish, void (*part)(Fleet&)) {
+    const Seconds began = net::clock_now();
+    wish.keep = true;
+    Fleet play(wish);
+    try {
+        play.council.begin();
+        play.world.begin();
+        play.world.watch();
+        const auto held = [&] { return play.holder("roll-call") > 0 && play.holder("warming") > 0; };
+        play.expect(play.until(15, held), "nobody holds the leases of the fleet's tasks");
+        play.until(15, [&] { return play.world.newest() && play.world.all_current(*play.world.newest()); });
+        part(play);
+        play.expect(play.until(15, held), "nobody holds the leases at the end");
+        for (std::size_t i = 1; i < play.world.members.size(); ++i) play.world.members[i].clients->stop();
+        play.world.run(1.8);
+        for (auto& fault : faults_of(play.world)) play.faults.push_back(std::move(fault));
+        for (auto& fault : faults_of(play.council)) play.faults.push_back(std::move(fault));
+    } catch (const std::exception& error) {
+        play.faults.push_back(error.what());
+    }
+    fmt::print("{:24} {:7} {:5.1f} s", name, play.faults.empty() ? "holds" : "FAULTS",
+               net::clock_now() - began);
+    for (const auto& [what, value] : play.figures) fmt::print("; {} {:.2f}", what, value);
+    fmt::print("\n");
+    for (const std::string& fault : play.faults) fmt::print("    {}\n", fault);
+    if (!play.faults.empty()) fmt::print("    logs in {} and {}\n", play.world.folder, play.council.folder);
+    for (const std::string& folder : {play.world.folder, play.council.folder})
+        if (play.faults.empty()) std::filesystem::remove_all(folder);
+    std::fflush(stdout);
+    return play.faults.empty();
+}
 template <class Part>
 bool play_one(const std::string& name, CouncilWish wish, Part part) {
     const Seconds began = net::clock_now();
@@ -378,6 +522,11 @@
             ++played;
             good &= play_one(name, wish, part);
         }
+    for (const auto& [name, part] : kFleetScenarios)
+        if (scenario == name || scenario == "all") {
+            ++played;
+            good &= play_fleet(name, wish, part);
+        }
     return good;
 }
 bool play_council(const CouncilWish& wish, const std::string& name, const std::vector<Event>& events) {
--- a/tools/rig/main.cpp
+++ b/tools/rig/main.cpp
@@ -390,6 +390,8 @@
         ->capture_default_str();
     app.add_option("--holders", council.holders, "how many")->check(CLI::Range(2, 40))->capture_default_str();
     app.add_option("--gaps", gaps, "time without a holder, over so many kills, stops and cuts");
+    Seconds grants = 0;
+    app.add_option("--grants", grants, "grants a second and fsyncs a grant, so many seconds a row");
     CLI11_PARSE(app, argc, argv);
     // What comes with the rig lies beside it.
     const auto beside = std::filesystem::path(argv[0]).parent_path();
@@ -403,6 +405,10 @@
             measure_gaps(council, gaps);
             return 0;
         }
+        if (grants > 0) {
+            measure_grants(council, grants);
+            return 0;
+        }
         if (leases) {
             if (!schedule.empty()) {
                 std::ifstream file(schedule);
--- a/tools/rig/world.hpp
+++ b/tools/rig/world.hpp
@@ -24,11 +24,13 @@
     std::string program = "build/tideline";
     int members = 12;
     std::uint32_t seed = 1;
-    double rate = 15;   // invocations a second and member
-    bool off = false;   // without the fleet
-    int narrow = 0;     // this member takes frames of 16 KB only
-    int filler = 0;     // draining entries in the list, which make it long
-    bool keep = false;  // the folder, also where all is well
+    double rate = 15;                   // invocations a second and member
+    bool off = false;                   // without the fleet
+    int narrow = 0;                     // this member takes frames of 16 KB only
+    int filler = 0;                     // draining entries in the list, which make it long
+    bool keep = false;                  // the folder, also where all is well
+    std::vector<std::string> planners;  // their addresses: some tasks are done by one for all
+    double ready_for = 0;               // s: pods that come later are cold for so long; 0: never
 };
 
 // The times that the members are told; short, so that a run is.
--- a/tools/virtual/leases.cpp
+++ b/tools/virtual/leases.cpp
@@ -110,7 +110,8 @@
 
     Council world;
     double act_delay = 0;  // most between guard and act; 0: at once
-    std::uint64_t steps = 0, messages = 0;
+    std::uint64_t steps = 0;
+    std::map<int, double> count_by_node;  // messages that it sent or got
 
   private:
     struct Step {
@@ -130,8 +131,8 @@
     }
     void collect() {
         for (Sent& sent : world.take_sent()) {
-            ++messages;
             const int to = sent.to;
+            ++count_by_node[sent.from], ++count_by_node[to];
             const double way = draw(0.0002, 0.002) + delays_[static_cast<std::size_t>(sent.from)] +
                                delays_[static_cast<std::size_t>(to)];
             // What is cut is mostly lost; the rest is held on the way and comes late.
@@ -359,8 +360,49 @@
 }
 
 void measure_leases(int seeds, const std::vector<int>& waiting) {
-    static_cast<void>(seeds);
-    static_cast<void>(waiting);
+    fmt::print(
+        "virtual time, {} seeds: 5 planners, span 3 s, drift 1%, renewals every 1 s, one that waits asks "
+        "every 1 s, "
+        "ways of 0.2 to 2 ms; median (worst)\n\n"
+        "| waiting | to take it first, s | after a kill, s | after a give-back, ms | messages a second: of "
+        "the holder | of "
+        "one that waits |\n| --- | --- | --- | --- | --- | --- |\n",
+        seeds);
+    for (const int count : waiting) {
+        Spread first, killed, given, holding, asking;
+        std::mutex lock;
+        each_seed(1, seeds, [&](std::uint32_t seed) {
+            Driver run(usual(5, count + 1, seed), seed);
+            Council& world = run.world;
+            for (int i = world.planners(); i < world.nodes(); ++i) world.want(i, true);
+            const auto until_held = [&](double step) {
+                const double from = run.now();
+                while (run.holder() < 0 && run.now() < from + 120) run.run(run.now() + step);
+                return run.now() - from;
+            };
+            const double took = until_held(0.001);
+            run.run(run.now() + 3);
+            run.count_by_node.clear();
+            run.run(run.now() + 5);
+            const int holds = run.holder();
+            const double of_holder = run.count_by_node[holds] / 5;
+            double of_others = 0;
+            for (int i = world.planners(); i < world.nodes(); ++i)
+                of_others += i == holds ? 0 : run.count_by_node[i];
+            run.kill(holds);
+            const double after_kill = until_held(0.001);
+            run.run(run.now() + 2);
+            world.want(run.holder(), false);
+            const double after_back = until_held(0.0001);
+            const std::lock_guard guard(lock);
+            first.values.push_back(took), killed.values.push_back(after_kill);
+            given.values.push_back(after_back * 1e3), holding.values.push_back(of_holder);
+            asking.values.push_back(of_others / 5 / count);
+        });
+        fmt::print("| {} | {} | {} | {} | {} | {} |\n", count, first.text(), killed.text(), given.text(),
+                   holding.text(), asking.text());
+        std::fflush(stdout);
+    }
 }
 
 }  // namespace tideline::simulated
