--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # setup, build, try, test, lint and run; everything goes to build/ and build-tests/
-.PHONY: setup packages build try test faults worlds virtual lint format run
+.PHONY: setup packages build try test faults worlds virtual bite lint format run
 SOURCES = $(shell find src tools tests -name '*.cpp' -o -name '*.hpp')
 AS_ROOT = $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 
@@ -31,6 +31,8 @@
 faults: build
 	build/tideline_rig --program build/tideline --scenario all
 	build/tideline_rig --program build/tideline --seeds $(SEEDS)
+	build/tideline_rig --program build/tideline --leases --scenario all
+	build/tideline_rig --program build/tideline --leases --seeds $(SEEDS)
 
 # Every order of events in small worlds, and seeded virtual time, on the cores that ship.
 worlds: build
@@ -38,6 +40,12 @@
 
 virtual: build
 	build/tideline_virtual check --seeds 10000
+	build/tideline_virtual leases --seeds 10000
+	build/tideline_virtual leases --seeds 10000 --planners 3 --members 4
+
+# Each guard of planners and leases taken out in a copy, one at a time: is it missed?
+bite:
+	tools/guards/bite.py
 
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
