--- a/src/cli/lease.cpp
+++ b/src/cli/lease.cpp
@@ -138,4 +138,31 @@
     return table.stale() ? 2 : 0;
 }
 
+int watch(const LeaseWish& wish) {
+    const auto address = net::address_of(wish.at);
+    if (!address) throw std::runtime_error("no address: " + wish.at + "; it is to be host:port in digits");
+    net::Loop loop;
+    bool over = false, told = false;
+    planner::Watch its(loop, *address, [&](const wire::Holds& holds) {
+        told = true;
+        const std::string now = clock_of(net::clock_now());
+        if (wish.json)
+            fmt::print("{}\n", ordered_json({{"at", net::clock_now()},
+                                             {"lease", holds.lease()},
+                                             {"holder", holds.member()},
+                                             {"life", holds.life()},
+                                             {"fence", holds.fence()}})
+                                   .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+        else if (holds.fence() > 0)
+            fmt::print("{} {}: {} under fence {}\n", now, holds.lease(), holds.member(), holds.fence());
+        else
+            fmt::print("{} {}: nobody\n", now, holds.lease());
+        std::fflush(stdout);
+    });
+    if (wish.within > 0) loop.due.at(net::clock_now() + wish.within, [&] { over = true; });
+    while (!over && !its.over) loop.pass();
+    if (its.over) fmt::print(stderr, "tideline: {}: the connection ended\n", wish.at);
+    return its.over || !told ? 2 : 0;
+}
+
 }  // namespace tideline::cli
--- a/src/cli/lease.hpp
+++ b/src/cli/lease.hpp
@@ -6,7 +6,7 @@
 namespace tideline::cli {
 
 struct LeaseWish {
-    enum What { list, take_away, planners, admit, remove } what = list;
+    enum What { list, watch, take_away, planners, admit, remove } what = list;
     std::string at;    // host:port of any planner
     std::string name;  // of the lease, or of the planner
     bool json = false;
@@ -15,5 +15,8 @@
 
 // The exit status: 0 done, 1 refused, 2 could not be asked, or is not known to be so.
 int lease(const LeaseWish& wish);
+// Prints each holder of each lease, now and as it changes, for `within` seconds; 0: until the connection
+// ends.
+int watch(const LeaseWish& wish);
 
 }  // namespace tideline::cli
--- a/src/fleet/duties.cpp
+++ b/src/fleet/duties.cpp
@@ -32,6 +32,7 @@
 void Duties::begin() {
     if (calls_) tenant_.want(kRollCall);
     if (warms_) tenant_.want(kWarming);
+    tenant_.watch();
     ring();
 }
 void Duties::leave() { tenant_.give_back_all(); }
@@ -83,6 +84,11 @@
     roll_call_.standing(keys);
 }
 
+// A holder that the planners have deposed is refused here from now on, also before its successor acts.
+void Duties::held_by(const lease::LeaseName& lease, const Name&, lease::Fence fence) {
+    if (fence > lease::Fence{}) gate_.passes(lease, fence);
+}
+
 // --- Warming
 void Duties::pod_listed(const PodId& pod, bool ready, Seconds started) {
     if (ready && started > 0)
--- a/src/fleet/duties.hpp
+++ b/src/fleet/duties.hpp
@@ -43,6 +43,7 @@
     void alarm_settled(const lease::LeaseName& lease, const std::string& key, bool raised,
                        bool changed) override;
     void standing(const lease::LeaseName& lease, const std::set<std::string>& keys) override;
+    void held_by(const lease::LeaseName& lease, const Name& member, lease::Fence fence) override;
     // audit::RollCallHost
     void gather() override;
     void raise(const std::string& key, const std::string& text) override;
--- a/src/fleet/parley.hpp
+++ b/src/fleet/parley.hpp
@@ -37,6 +37,7 @@
     void send(const Name& to, const std::string& address, const wire::Word& word);
     void send(const std::string& address, const wire::Word& word);  // to whoever is there
     void reply(LinkNo link, const wire::Word& word);
+    bool open(LinkNo link) { return find(link) != nullptr; }
     // The connection is that member's. False where it comes from another host than the member's address.
     bool belongs(LinkNo link, const Name& name, const std::string& address);
     void bound(const Bounds& bounds) { bounds_ = bounds; }
--- a/src/fleet/tenant.cpp
+++ b/src/fleet/tenant.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::uint64_t kExtras = 1ULL << 63;     // their numbers are no lessee's
 constexpr Seconds kExtraFor = 5;                  // s: after that nobody waits for the answer
+constexpr Seconds kWatchEvery = 5;                // s: a planner forgets a watcher after three times that
 constexpr std::size_t kFrame = 16 * 1024 * 1024;  // bytes: a planner's table
 
 }  // namespace
@@ -31,7 +32,10 @@
       parley_(loop, *this, {2 * planners.size() + 2, kFrame}, net::address_of(own_address)->host),
       lessee_(*this, terms, self.life),
       at_(self.life.value % planners.size()) {}
-Tenant::~Tenant() { loop_.due.cancel(ring_); }
+Tenant::~Tenant() {
+    loop_.due.cancel(ring_);
+    loop_.due.cancel(watch_);
+}
 
 void Tenant::want(const LeaseName& lease) {
     lessee_.want(lasting_now(), lease);
@@ -41,6 +45,10 @@
     for (const LeaseName& lease : lessee_.wanted()) lessee_.drop(lasting_now(), lease);
     ring();
 }
+void Tenant::watch() {
+    say(ask(wire::LeaseAsk::WATCH, kExtras, {}, {}));
+    watch_ = loop_.due.at(net::clock_now() + kWatchEvery, [this] { watch(); });
+}
 std::optional<Fence> Tenant::may_act(const LeaseName& lease) const {
     return lessee_.may_act(lasting_now(), lease);
 }
@@ -111,6 +119,9 @@
             lessee_.your_turn(now, LeaseName{word.turn().lease()});
         return ring();
     }
+    if (word.has_holds() && word.holds().cluster() == cluster_)
+        owner_.held_by(LeaseName{word.holds().lease()}, Name{word.holds().member()},
+                       Fence{word.holds().fence()});
     if (!word.has_lease_answer()) return;
     const wire::LeaseAnswer& answer = word.lease_answer();
     // Danger: planners of another cluster know nothing of what these have granted.
--- a/src/fleet/tenant.hpp
+++ b/src/fleet/tenant.hpp
@@ -24,6 +24,7 @@
         virtual void alarm_settled(const lease::LeaseName& lease, const std::string& key, bool raised,
                                    bool changed) = 0;
         virtual void standing(const lease::LeaseName& lease, const std::set<std::string>& keys) = 0;
+        virtual void held_by(const lease::LeaseName& lease, const Name& member, lease::Fence fence) = 0;
     };
     Tenant(net::Loop& loop, net::Log& log, Owner& owner, const std::vector<std::string>& planners,
            const lease::LesseeTerms& terms, const std::string& own_address, const lease::Member& self);
@@ -31,6 +32,7 @@
 
     void want(const lease::LeaseName& lease);
     void give_back_all();
+    void watch();  // the owner is told of each lease's holder, now and as it changes
     // Asked right before each act; the fence goes along.
     std::optional<lease::Fence> may_act(const lease::LeaseName& lease) const;
     // Acts at the planners, under the lease's fence; nothing where this member may not act.
@@ -75,7 +77,7 @@
     bool told_cluster_ = false;
     std::map<std::uint64_t, Extra> extras_;
     std::uint64_t last_extra_ = 0;
-    net::Due::Key ring_ = net::Due::kNone;
+    net::Due::Key ring_ = net::Due::kNone, watch_ = net::Due::kNone;
 };
 
 }  // namespace tideline::fleet
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -95,6 +95,7 @@
         if (audit->parsed() || members->parsed()) return cli::ask(ask);
         if (check->parsed()) return cli::check(path);
         if (planner->parsed()) return cli::plan(plan);
+        if (lease.what == cli::LeaseWish::watch) return cli::watch(lease);
         if (leases->parsed() || planners->parsed()) return cli::lease(lease);
         if (serve.told.empty()) {
             std::fprintf(stderr, "tideline: neither --config nor PROXY_CONFIG names a file\n");
--- a/src/planner/office.cpp
+++ b/src/planner/office.cpp
@@ -52,6 +52,10 @@
 void Office::apply(LogIndex at, const Record& record) {
     if (record.kind != consensus::RecordKind::command) return;
     const Effect effect = planner::apply(record.body, at, leases_, enrolment_);
+    if (const lease::Lease* its = leases_.find(effect.lease); its && its->now.fence.value == at.value)
+        host_->holder_changed(effect.lease);
+    else if (its && its->now.fence == Fence{} && !its->past.empty())
+        host_->holder_changed(effect.lease);
     if (effect.take)
         lessor_.applied_take(now_, effect.lease, effect.member);
     else if (!effect.lease.value.empty())
--- a/src/planner/office.hpp
+++ b/src/planner/office.hpp
@@ -23,6 +23,7 @@
     virtual void decided(lease::AskNo no, bool changed) = 0;
     virtual void your_turn(const lease::Member& member, const lease::LeaseName& lease,
                            lease::Fence fence) = 0;
+    virtual void holder_changed(const lease::LeaseName&) {}  // as far as this planner has applied the log
 };
 
 struct OfficeTerms {
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <limits>
+#include <utility>
 
 #include "fleet/wire.hpp"
 #include "lease/clock.hpp"
@@ -21,13 +22,15 @@
 using lease::LeaseName;
 using lease::Member;
 
-constexpr Seconds kKnockEvery = 1;         // s: of a planner without a seat, and of what is swept
-constexpr Seconds kFoundAfter = 1.5;       // s: others that belong to a cluster would have answered
-constexpr Seconds kAskedFor = 10;          // s: nobody waits for an answer for longer
-constexpr Seconds kRouteFor = 60;          // s: a member that waits asks more often
-constexpr Seconds kKnockerFor = 5;         // s: a planner that knocks does so every second
-constexpr std::size_t kAskedMost = 20000;  // questions at once: members of a large fleet, some asking twice
-constexpr Seconds kSilent = 2;             // s: a planner not heard for longer is shown so
+constexpr Seconds kKnockEvery = 1;           // s: of a planner without a seat, and of what is swept
+constexpr Seconds kFoundAfter = 1.5;         // s: others that belong to a cluster would have answered
+constexpr Seconds kAskedFor = 10;            // s: nobody waits for an answer for longer
+constexpr Seconds kRouteFor = 60;            // s: a member that waits asks more often
+constexpr Seconds kKnockerFor = 5;           // s: a planner that knocks does so every second
+constexpr Seconds kWatchFor = 15;            // s: whoever watches says so again before
+constexpr std::size_t kWatchersMost = 4096;  // each is told of each change
+constexpr std::size_t kAskedMost = 20000;    // questions at once: members of a large fleet, some asking twice
+constexpr Seconds kSilent = 2;               // s: a planner not heard for longer is shown so
 
 double unix_now() {
     return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -123,6 +126,7 @@
     }
     std::erase_if(asked_, [&](auto& each) { return now > each.second.at + kAskedFor; });
     std::erase_if(routes_, [&](auto& each) { return now > each.second.at + kRouteFor; });
+    std::erase_if(watchers_, [&](auto& each) { return now > each.second || !parley_.open(each.first); });
     std::erase_if(knockers_, [&](auto& each) { return now > each.second.heard + kKnockerFor; });
     knock_ = loop_.due.at(net::clock_now() + kKnockEvery, [this] { knock(); });
 }
@@ -270,11 +274,36 @@
     parley_.reply(route->second.link, said);
 }
 
+void Planner::holder_changed(const LeaseName& lease) {
+    // Told from the loop: in the office's call it may be in the middle of a record.
+    if (watchers_.empty()) return;
+    loop_.due.soon([this, lease] {
+        for (const auto& [link, until] : watchers_) tell_holder(link, lease);
+    });
+}
+void Planner::tell_holder(LinkNo link, const LeaseName& lease) {
+    const lease::Lease* its = office_->leases().find(lease);
+    wire::Word said = word();
+    wire::Holds& holds = *said.mutable_holds();
+    holds.set_lease(lease.value), holds.set_cluster(cluster_.value);
+    if (its) {
+        holds.set_member(its->now.holder.name.value), holds.set_life(its->now.holder.life.value);
+        holds.set_fence(its->now.fence.value);
+    }
+    parley_.reply(link, said);
+}
+
 // --- Members and operators
 void Planner::lease_asked(LinkNo link, const wire::Word& word) {
     const Seconds now = lasting_now();
     const wire::LeaseAsk& ask = word.lease_ask();
     if (asked_.size() >= kAskedMost) return;  // it will ask again
+    if (ask.what() == wire::LeaseAsk::WATCH) {
+        if (!office_ || (watchers_.size() >= kWatchersMost && !watchers_.contains(link))) return;
+        if (std::exchange(watchers_[link], now + kWatchFor) == 0)
+            for (const auto& [name, lease] : office_->leases().leases()) tell_holder(link, name);
+        return;
+    }
     const AskNo no{++last_ask_};
     asked_[no] = {link, ask.no(), now};
     const Member member{Name{ask.member()}, lease::Life{ask.life()}};
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -52,6 +52,7 @@
                 std::size_t before) override;
     void decided(lease::AskNo no, bool changed) override;
     void your_turn(const lease::Member& member, const lease::LeaseName& lease, lease::Fence fence) override;
+    void holder_changed(const lease::LeaseName& lease) override;
     // Parley::Owner
     void said(fleet::LinkNo link, const wire::Word& word) override;
     void unreachable(const fleet::Name&) override {}
@@ -67,6 +68,7 @@
     void lease_asked(fleet::LinkNo link, const wire::Word& word);
     void serve(Seconds now, lease::AskNo no, const wire::LeaseAsk& ask);
     void reply(const Asked& asked, wire::LeaseAnswer& answer);
+    void tell_holder(fleet::LinkNo link, const lease::LeaseName& lease);
     void table(wire::PlannerTable& to) const;
     void refuse(lease::AskNo no, const std::string& why);
     void write();  // what is to be on the disk, in one transaction
@@ -85,7 +87,8 @@
     std::map<lease::Member, Route> routes_;
     std::map<Peer, std::pair<fleet::Name, std::string>> met_;  // where they were last heard
     std::map<fleet::Name, Knocker> knockers_;
-    std::set<std::string> told_;  // faults that were logged once
+    std::map<fleet::LinkNo, Seconds> watchers_;  // until when
+    std::set<std::string> told_;                 // faults that were logged once
     std::uint64_t last_ask_ = 0;
     std::string broken_;
     net::Due::Key ring_ = net::Due::kNone, write_ = net::Due::kNone, pass_ = net::Due::kNone,
--- a/tests/raft.cpp
+++ b/tests/raft.cpp
@@ -2,6 +2,8 @@
 // who the planners are. All orders of it are searched in tools/worlds and drawn in tools/virtual.
 #include "consensus/raft.hpp"
 
+#include <rapidcheck.h>
+
 #include <catch2/catch.hpp>
 #include <deque>
 #include <functional>
@@ -223,4 +225,51 @@
     CHECK(net.raft(leads).confirmed() < second);
 }
 
+TEST_CASE("whatever is cut off and when, all come to the same, and what was committed stays", "[raft]") {
+    CHECK(rc::check([] {
+        Net net(*rc::gen::element(3, 5));
+        const int count = static_cast<int>(net.nodes.size());
+        std::string committed;  // the longest that any came to
+        char next = 'a';
+        for (int i = 0; i < 25; ++i) {
+            const int one = *rc::gen::inRange(1, count + 1);
+            switch (*rc::gen::inRange(0, 6)) {
+                case 0:
+                    if (static_cast<int>(net.cut.size()) < count / 2) net.cut.insert(one);
+                    break;
+                case 1:
+                    net.cut.clear();
+                    break;
+                case 2:
+                    net.raft(one).election_time_up(net.now);
+                    break;
+                case 3: {
+                    Raft& raft = net.raft(one);
+                    raft.compact(raft.applied(), net.at(one).came_to);
+                    break;
+                }
+                case 4:
+                    net.pass(*rc::gen::inRange(1, 20) * 0.1);
+                    break;
+                default:
+                    if (net.raft(one).propose(std::string(1, next)) > LogIndex{}) ++next;
+            }
+            if (*rc::gen::inRange(0, 2) == 0) net.settle();
+            for (const auto& node : net.nodes) {
+                const std::string& its = node->came_to;
+                const auto same = std::min(its.size(), committed.size());
+                RC_ASSERT(its.substr(0, same) == committed.substr(0, same));
+                if (its.size() > committed.size()) committed = its;
+            }
+        }
+        net.cut.clear();
+        net.pass(6);
+        RC_ASSERT(net.leader() > 0);
+        for (const auto& node : net.nodes) {
+            RC_ASSERT(node->came_to == net.at(net.leader()).came_to);
+            RC_ASSERT(node->came_to.substr(0, committed.size()) == committed);
+        }
+    }));
+}
+
 }  // namespace tideline::test
--- a/tools/virtual/leases.cpp
+++ b/tools/virtual/leases.cpp
@@ -73,6 +73,7 @@
         world.time_is(now_);
     }
     double now() const { return now_; }
+    void flush() { collect(); }  // what was done to the world from outside sends at once
 
     void stop(int node, bool stopped) {
         const auto at_node = static_cast<std::size_t>(node);
@@ -389,10 +390,12 @@
             double of_others = 0;
             for (int i = world.planners(); i < world.nodes(); ++i)
                 of_others += i == holds ? 0 : run.count_by_node[i];
+            run.run(run.now() + run.draw(0, 1));
             run.kill(holds);
             const double after_kill = until_held(0.001);
             run.run(run.now() + 2);
             world.want(run.holder(), false);
+            run.flush();
             const double after_back = until_held(0.0001);
             const std::lock_guard guard(lock);
             first.values.push_back(took), killed.values.push_back(after_kill);
--- a/tools/worlds/main.cpp
+++ b/tools/worlds/main.cpp
@@ -14,7 +14,7 @@
 using namespace tideline::worlds;
 
 struct Told {
-    bool holds = true;
+    Found found;
     std::string line;
 };
 Told told(const std::string& name, const std::function<Found()>& search, int depth, const std::string& from) {
@@ -22,7 +22,7 @@
     const Found found = search();
     const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
     return {
-        found.holds,
+        found,
         fmt::format("worlds: {}: {} states, {} steps, every order to depth {} from where {}{}, {:.1f} s: {}",
                     name, found.states, found.steps, depth, from,
                     found.full ? " (cut short at the bound on states)" : "", took,
@@ -60,14 +60,18 @@
                     each.name, [&] { return search_leases(each, its, most); }, its, each.about);
             }));
         }
-        bool holds = true;
+        const auto began = std::chrono::steady_clock::now();
+        Found sum;
         for (auto& each : all) {
             const Told one = each.get();
             fmt::print("{}\n", one.line);
             std::fflush(stdout);
-            holds &= one.holds;
+            sum.states += one.found.states, sum.steps += one.found.steps, sum.holds &= one.found.holds;
         }
-        return holds ? 0 : 1;
+        fmt::print("worlds: {} searches, {} states, {} steps, {:.1f} s: {}\n", all.size(), sum.states,
+                   sum.steps, std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count(),
+                   sum.holds ? "all hold" : "FAULT");
+        return sum.holds ? 0 : 1;
     } catch (const std::exception& error) {
         fmt::print(stderr, "tideline_worlds: {}\n", error.what());
         return 2;
