--- a/src/fleet/reader.hpp
+++ b/src/fleet/reader.hpp
@@ -4,10 +4,14 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cmath>
+#include <fstream>
 #include <functional>
+#include <iterator>
 #include <libconfig.h++>
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -82,4 +86,33 @@
     std::vector<Fault>& faults_;
 };
 
+// Reads the text with `read`, which is told the reader and the root. The faults come in the order of the
+// lines.
+template <class Read>
+std::vector<Fault> faults_in(const std::string& text, Read read) {
+    std::vector<Fault> faults;
+    libconfig::Config config;
+    try {
+        config.readString(text);
+    } catch (const libconfig::ParseException& error) {
+        return {{error.getLine(), error.getError()}};
+    }
+    Reader reader(faults);
+    read(reader, config.getRoot());
+    std::stable_sort(faults.begin(), faults.end(), [](auto& a, auto& b) { return a.line < b.line; });
+    return faults;
+}
+// What a file tells. Throws std::runtime_error, with one line a fault: file, line and what is wrong.
+template <class Told>
+Told told_by(const std::string& path, std::vector<Fault> (*read)(const std::string&, Told&)) {
+    std::ifstream file(path);
+    if (!file) throw std::runtime_error("can't read " + path);
+    const std::string text{std::istreambuf_iterator<char>(file), {}};
+    Told told;
+    std::string all;
+    for (const Fault& fault : read(text, told)) all += (all.empty() ? "" : "\n") + text_of(path, fault);
+    if (!all.empty()) throw std::runtime_error(all);
+    return told;
+}
+
 }  // namespace tideline::fleet
--- a/src/fleet/treaty.cpp
+++ b/src/fleet/treaty.cpp
@@ -2,11 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <fstream>
-#include <iterator>
-#include <stdexcept>
-
 #include "fleet/reader.hpp"
 
 #define XXH_INLINE_ALL
@@ -20,69 +15,60 @@
 }  // namespace
 
 std::vector<Fault> read_treaty(const std::string& text, Treaty& treaty) {
-    std::vector<Fault> faults;
-    libconfig::Config config;
-    try {
-        config.readString(text);
-    } catch (const libconfig::ParseException& error) {
-        return {{error.getLine(), error.getError()}};
-    }
     treaty.digest = digest_of(text);
-
-    Reader read(faults);
-    auto& roll = treaty.roll;
-    auto& currency = treaty.currency;
-    const auto membership = [&](const Setting& from) {
-        read.group(from, {{"period", read.number(roll.period, 0.05, 60, " s")},
-                          {"answer_wait", read.number(roll.answer_wait, 0.01, 30, " s")},
-                          {"regain_every", read.number(roll.regain_every, 0.1, 600, " s")},
-                          {"remember", read.number(roll.remember, 10, 30 * 86400.0, " s")}});
-        if (roll.answer_wait > roll.period / 2)
-            read.fault(from, "answer_wait is more than half of the period");
-    };
-    const auto audit = [&](const Setting& from) {
-        read.group(from, {{"witnesses", read.number(currency.witnesses, 2, 100)},
-                          {"grace", read.number(currency.grace, 0.2, 3600, " s")},
-                          {"out_after", read.number(currency.out_after, 0.2, 3600, " s")},
-                          {"blind_after", read.number(currency.blind_after, 0.5, 3600, " s")},
-                          {"most_out", read.number(currency.most_out, 0, 0.9)},
-                          {"epochs", read.number(treaty.epochs, 2, 100000)}});
-    };
-    const auto planners = [&](const Setting& from) {
-        read.group(from, {{"addresses", read.addresses(treaty.planners)},
-                          {"answer_wait", read.number(treaty.lessee.answer_wait, 0.05, 60, " s")},
-                          {"ask_again", read.number(treaty.lessee.ask_again, 0.1, 600, " s")},
-                          {"renew_most", read.number(treaty.lessee.renew_most, 0.05, 600, " s")},
-                          {"roll_call", read.number(treaty.roll_call, 0, 3600, " s")},
-                          {"warming", read.number(treaty.warming, 0, 60, " s")}});
-        if (treaty.planners.empty()) read.fault(from, "addresses is missing, or names no planner");
-    };
-    const auto limits = [&](const Setting& from) {
-        read.group(from, {{"links", read.number(treaty.links, 4, 10000)},
-                          {"frame", read.number(treaty.frame, 16384, 64.0 * 1024 * 1024, " bytes")}});
-    };
-    const auto fleet = [&](const Setting& from) {
-        read.group(from, {{"member", read.text(treaty.name.value)},
-                          {"place", read.text(treaty.place.value)},
-                          {"listen", read.address(treaty.listen)},
-                          {"address", read.address(treaty.address)},
-                          {"seeds", read.addresses(treaty.seeds)},
-                          {"folder", read.text(treaty.folder)},
-                          {"membership", membership},
-                          {"audit", audit},
-                          {"planners", planners},
-                          {"limits", limits}});
-        for (const char* needed : {"member", "listen"})
-            if (from.isGroup() && !from.exists(needed))
-                read.fault(from, fmt::format("{} is missing", needed));
-        for (const std::string* each : {&treaty.name.value, &treaty.place.value})
-            if (each->size() > kNameMost) read.fault(from, "a name of more than 100 bytes");
-    };
-    if (!config.getRoot().exists("fleet")) faults.push_back({0, "fleet is missing"});
-    read.group(config.getRoot(), {{"fleet", fleet}});
-    if (treaty.address.empty()) treaty.address = treaty.listen;
-    std::stable_sort(faults.begin(), faults.end(), [](auto& a, auto& b) { return a.line < b.line; });
-    return faults;
+    return faults_in(text, [&](Reader& read, const Setting& root) {
+        auto& roll = treaty.roll;
+        auto& currency = treaty.currency;
+        const auto membership = [&](const Setting& from) {
+            read.group(from, {{"period", read.number(roll.period, 0.05, 60, " s")},
+                              {"answer_wait", read.number(roll.answer_wait, 0.01, 30, " s")},
+                              {"regain_every", read.number(roll.regain_every, 0.1, 600, " s")},
+                              {"remember", read.number(roll.remember, 10, 30 * 86400.0, " s")}});
+            if (roll.answer_wait > roll.period / 2)
+                read.fault(from, "answer_wait is more than half of the period");
+        };
+        const auto audit = [&](const Setting& from) {
+            read.group(from, {{"witnesses", read.number(currency.witnesses, 2, 100)},
+                              {"grace", read.number(currency.grace, 0.2, 3600, " s")},
+                              {"out_after", read.number(currency.out_after, 0.2, 3600, " s")},
+                              {"blind_after", read.number(currency.blind_after, 0.5, 3600, " s")},
+                              {"most_out", read.number(currency.most_out, 0, 0.9)},
+                              {"epochs", read.number(treaty.epochs, 2, 100000)}});
+        };
+        const auto planners = [&](const Setting& from) {
+            read.group(from, {{"addresses", read.addresses(treaty.planners)},
+                              {"answer_wait", read.number(treaty.lessee.answer_wait, 0.05, 60, " s")},
+                              {"ask_again", read.number(treaty.lessee.ask_again, 0.1, 600, " s")},
+                              {"renew_most", read.number(treaty.lessee.renew_most, 0.05, 600, " s")},
+                              {"roll_call", read.number(treaty.roll_call, 0, 3600, " s")},
+                              {"warming", read.number(treaty.warming, 0, 60, " s")}});
+            if (treaty.planners.empty()) read.fault(from, "addresses is missing, or names no planner");
+        };
+        const auto limits = [&](const Setting& from) {
+            read.group(from, {{"links", read.number(treaty.links, 4, 10000)},
+                              {"frame", read.number(treaty.frame, 16384, 64.0 * 1024 * 1024, " bytes")}});
+        };
+        const auto fleet = [&](const Setting& from) {
+            read.group(from, {{"member", read.text(treaty.name.value)},
+                              {"place", read.text(treaty.place.value)},
+                              {"listen", read.address(treaty.listen)},
+                              {"address", read.address(treaty.address)},
+                              {"seeds", read.addresses(treaty.seeds)},
+                              {"folder", read.text(treaty.folder)},
+                              {"membership", membership},
+                              {"audit", audit},
+                              {"planners", planners},
+                              {"limits", limits}});
+            for (const char* needed : {"member", "listen"})
+                if (from.isGroup() && !from.exists(needed))
+                    read.fault(from, fmt::format("{} is missing", needed));
+            for (const std::string* each : {&treaty.name.value, &treaty.place.value})
+                if (each->size() > kNameMost) read.fault(from, "a name of more than 100 bytes");
+        };
+        if (!root.exists("fleet")) read.fault(root, "fleet is missing");
+        read.group(root, {{"fleet", fleet}});
+        if (treaty.address.empty()) treaty.address = treaty.listen;
+    });
 }
 
 std::string digest_of(const std::string& text) {
@@ -94,16 +80,6 @@
                           : fmt::format("{}: {}", path, fault.what);
 }
 
-Treaty treaty_of(const std::string& path) {
-    std::ifstream file(path);
-    if (!file) throw std::runtime_error("can't read " + path);
-    const std::string text{std::istreambuf_iterator<char>(file), {}};
-    Treaty treaty;
-    std::string all;
-    for (const Fault& fault : read_treaty(text, treaty))
-        all += fmt::format("{}{}", all.empty() ? "" : "\n", text_of(path, fault));
-    if (!all.empty()) throw std::runtime_error(all);
-    return treaty;
-}
+Treaty treaty_of(const std::string& path) { return told_by(path, read_treaty); }
 
 }  // namespace tideline::fleet
--- a/tools/guards/bite.py
+++ b/tools/guards/bite.py
@@ -2,7 +2,7 @@
 """Takes each guard of the planners' and leases' cores out, one at a time, in a copy of the sources, and looks
 whether the searches see it. Prints, for each, what failed; exit status 1 if a guard was not missed.
 
-    tools/guards/bite.py [--only WORD] [--seeds N] [--keep]
+    tools/guards/bite.py [--only WORD] [--after N] [--seeds N] [--keep]
 """
 import argparse
 import pathlib
@@ -85,7 +85,7 @@
 
 def misses(out, seeds):
     """What failed without the guard: the small worlds first, then virtual time."""
-    worlds = run(out / "tideline_worlds", "--depth", "1")
+    worlds = run(out / "tideline_worlds", "--depth", "1", "--first-fault")
     if worlds.returncode != 0:
         lines = worlds.stdout.splitlines()
         at = next((i for i, line in enumerate(lines) if line.endswith("after:")), len(lines) - 1)
@@ -102,6 +102,7 @@
 def main():
     wish = argparse.ArgumentParser(description=__doc__)
     wish.add_argument("--only", default="")
+    wish.add_argument("--after", type=int, default=0, help="pass over the first so many")
     wish.add_argument("--seeds", type=int, default=1500)
     wish.add_argument("--keep", action="store_true", help="print whole schedules")
     wish = wish.parse_args()
@@ -112,7 +113,7 @@
         for name in ("src", "tools", "tests", "CMakeLists.txt"):
             source = ROOT / name
             (shutil.copytree if source.is_dir() else shutil.copy2)(source, tree / name)
-        for name, file, there, gone in GUARDS:
+        for name, file, there, gone in GUARDS[wish.after:]:
             if wish.only not in name:
                 continue
             path = tree / file
--- a/tools/rig/grants.cpp
+++ b/tools/rig/grants.cpp
@@ -1,5 +1,6 @@
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <lmdb.h>
 #include <sqlite3.h>
 #include <unistd.h>
 
--- a/tools/stand/process.cpp
+++ b/tools/stand/process.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 
 namespace tideline::stand {
 namespace {
@@ -52,4 +53,13 @@
     return status_.value_or(-1);
 }
 
+double Process::cpu() const {
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
+    std::string word;
+    double ticks = 0;
+    for (int i = 1; i <= 15 && file >> word; ++i)
+        if (i >= 14) ticks += std::stod(word);
+    return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
 }  // namespace tideline::stand
--- a/tools/stand/process.hpp
+++ b/tools/stand/process.hpp
@@ -21,6 +21,7 @@
     std::optional<int> ended();  // its exit status, 128 and more for a signal; nothing while it runs
     int wait();
     pid_t pid() const { return pid_; }
+    double cpu() const;  // s that it has used so far
     bool runs() { return pid_ > 0 && !ended(); }
 
   private:
--- /dev/null
+++ b/tools/stand/until.hpp
@@ -0,0 +1,26 @@
+// Runs the loop until something holds, looked at after each pass, or for so long at most.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+
+#include "net/loop.hpp"
+
+namespace tideline::stand {
+
+constexpr Seconds kLookEvery = 0.01;  // s: also where nothing happens
+
+inline bool run_until(net::Loop& loop, Seconds most, const std::function<bool()>& holds) {
+    const Seconds until = net::clock_now() + most;
+    for (;;) {
+        if (holds()) return true;
+        if (net::clock_now() >= until) return false;
+        bool woken = false;
+        net::Due::Key wake =
+            loop.due.at(std::min(until, net::clock_now() + kLookEvery), [&] { woken = true; });
+        while (!woken && !holds()) loop.pass();
+        if (!woken) loop.due.cancel(wake);
+    }
+}
+
+}  // namespace tideline::stand
--- a/tools/virtual/leases.cpp
+++ b/tools/virtual/leases.cpp
@@ -9,6 +9,7 @@
 #include <random>
 
 #include "council/world.hpp"
+#include "fleet/wire.hpp"
 #include "virtual/seeds.hpp"
 
 namespace tideline::simulated {
@@ -36,7 +37,8 @@
           chance_(seed ^ 0x1ea5e),
           stopped_(static_cast<std::size_t>(world.nodes()), false),
           delays_(stopped_.size(), 0),
-          waiting_(stopped_.size()) {
+          waiting_(stopped_.size()),
+          slow_disks_(stopped_.size(), 0) {
         collect();
     }
     double draw(double from, double to) {
@@ -97,6 +99,7 @@
     }
     void heal() { cuts_.clear(); }
     void delay(int node, double by) { delays_[static_cast<std::size_t>(node)] = by; }
+    void slow_disk(int planner, double by) { slow_disks_[static_cast<std::size_t>(planner)] = by; }
     int leader() const {
         for (int i = 0; i < world.planners(); ++i)
             if (world.office(i) && world.office(i)->serves()) return i;
@@ -146,7 +149,8 @@
         for (int i = 0; i < world.planners(); ++i) {
             if (!world.writes(i) || writing_.contains(i)) continue;
             writing_.insert(i);
-            at(now_ + draw(0.0003, 0.004), [this, i] {
+            const double slow = slow_disks_[static_cast<std::size_t>(i)];
+            at(now_ + draw(0.0003, 0.004) + slow * draw(0, 1), [this, i] {
                 writing_.erase(i);
                 hand(i, [this, i] { world.disk_done(i); });
             });
@@ -161,6 +165,7 @@
     std::vector<std::vector<std::function<void()>>> waiting_;
     std::set<std::pair<int, int>> cuts_;
     std::set<int> writing_;
+    std::vector<double> slow_disks_;  // s that a write takes more, at most
 };
 
 struct Outcome {
@@ -200,7 +205,7 @@
         const double until = run.now() + run.draw(0.1, 6);
         const int planner = run.draw_below(planners), one = run.draw_below(world.nodes()),
                   other = run.draw_below(world.nodes()), who = member();
-        switch (run.draw_below(13)) {
+        switch (run.draw_below(15)) {
             case 0:
             case 1:
                 if (planner == replaced) break;
@@ -281,6 +286,19 @@
                 tell(fmt::format("m{} {}", who, world.wants(who) ? "wants it no more" : "wants it"));
                 world.want(who, !world.wants(who));
                 break;
+            case 12:
+            case 13: {
+                // Writes that take long, and a loss of power in the middle of one.
+                const double by = run.draw(0.05, 0.8);
+                tell(fmt::format("writes of p{} take up to {:.2f} s", planner + 1, by));
+                run.slow_disk(planner, by);
+                later(until, fmt::format("kill p{}, its disk good again after", planner + 1), [&, planner] {
+                    if (planner != replaced) run.kill(planner);
+                    run.slow_disk(planner, 0);
+                    run.at(run.now() + 0.2, [&, planner] { world.start(planner); });
+                });
+                break;
+            }
             default:
                 // The majority itself, one after the other.
                 tell("restart of all planners, one by one");
@@ -310,7 +328,10 @@
     run.at(start + 0.5, acts);
     run.run(start + kLength);
     run.heal();
-    for (int i = 0; i < world.nodes(); ++i) run.delay(i, 0), run.stop(i, false), world.start(i);
+    for (int i = 0; i < world.nodes(); ++i) {
+        run.delay(i, 0), run.stop(i, false), run.slow_disk(i, 0);
+        world.start(i);
+    }
     for (int i = planners; i < world.nodes(); ++i)
         if (!world.wants(i)) world.want(i, true);
     run.run(start + kLength + kQuiet);
@@ -361,6 +382,19 @@
 }
 
 void measure_leases(int seeds, const std::vector<int>& waiting) {
+    wire::Word question, answer;
+    for (auto* word : {&question, &answer}) {
+        word->mutable_from()->mutable_self()->set_name("m0123");
+        word->mutable_from()->mutable_self()->set_address("127.0.1.123:7801");
+    }
+    question.mutable_lease_ask()->set_no(1ULL << 61), question.mutable_lease_ask()->set_lease("roll-call");
+    question.mutable_lease_ask()->set_what(wire::LeaseAsk::RENEW),
+        question.mutable_lease_ask()->set_fence(70000);
+    question.mutable_lease_ask()->set_member("m0123"), question.mutable_lease_ask()->set_life(1796167642040);
+    answer.mutable_lease_answer()->set_no(1ULL << 61), answer.mutable_lease_answer()->set_fence(70000);
+    answer.mutable_lease_answer()->set_span(6), answer.mutable_lease_answer()->set_cluster(~0ULL);
+    fmt::print("a question is a frame of {} bytes, its answer one of {}\n",
+               fleet::frame_with(question).size(), fleet::frame_with(answer).size());
     fmt::print(
         "virtual time, {} seeds: 5 planners, span 3 s, drift 1%, renewals every 1 s, one that waits asks "
         "every 1 s, "
--- a/tools/worlds/main.cpp
+++ b/tools/worlds/main.cpp
@@ -41,6 +41,8 @@
     app.add_option("--states", most, "at most")->capture_default_str();
     app.add_option("--only", only, "currency, or one of the searches of planners and leases");
     app.add_option("--replay", replay_path, "a schedule of planners and leases, as a fault was printed");
+    bool first_fault = false;
+    app.add_flag("--first-fault", first_fault, "the other searches end once one has found a fault");
     CLI11_PARSE(app, argc, argv);
     try {
         if (!replay_path.empty()) return replay(replay_path) ? 0 : 1;
