--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -77,10 +77,9 @@
     cluster_ = {vault_.disk().value ^ static_cast<std::uint64_t>(unix_now() * 1e6)};
     const consensus::Kept first = Office::founding(self(), binder_.name, binder_.address);
     try {
-        vault_.belongs(cluster_);
         consensus::Storing what;
         what.promise = first.promise, what.snapshot = first.snapshot;
-        vault_.store({what});
+        vault_.belongs(cluster_, what);
     } catch (const std::exception& error) {
         broken_ = error.what();
         return;
--- a/src/planner/vault.cpp
+++ b/src/planner/vault.cpp
@@ -169,19 +169,24 @@
         .with(3, sum_of(bytes, at))
         .step();
 }
-void Vault::belongs(consensus::Cluster cluster) {
+void Vault::belongs(consensus::Cluster cluster, const consensus::Storing& first) {
     wire::Identity identity;
     std::string bytes;
     if (!get("identity", bytes) || !identity.ParseFromString(bytes)) damaged("it has no identity");
     identity.set_cluster(cluster.value);
     run("BEGIN EXCLUSIVE");
     put("identity", identity.SerializeAsString());
+    put_all({first});
     run("COMMIT");
     cluster_ = cluster;
 }
 
 void Vault::store(const std::vector<consensus::Storing>& all) {
     run("BEGIN EXCLUSIVE");
+    put_all(all);
+    run("COMMIT");
+}
+void Vault::put_all(const std::vector<consensus::Storing>& all) {
     std::optional<std::uint64_t> end;
     const auto drop = [&](const char* sql, std::uint64_t at) {
         Statement(*this, sql).with(1, static_cast<std::int64_t>(at)).step();
@@ -214,7 +219,6 @@
         }
     }
     if (end) put("end", std::to_string(*end));
-    run("COMMIT");
 }
 
 }  // namespace tideline::planner
--- a/src/planner/vault.hpp
+++ b/src/planner/vault.hpp
@@ -29,8 +29,9 @@
     consensus::Disk disk() const { return disk_; }
     consensus::Cluster cluster() const { return cluster_; }
     const consensus::Kept& kept() const { return kept_; }
-    // The cluster this disk belongs to from here on.
-    void belongs(consensus::Cluster cluster);
+    // The cluster this disk belongs to from here on, and what it begins with, at once: half of it would be a
+    // planner of no cluster that leads, or of one that has nothing.
+    void belongs(consensus::Cluster cluster, const consensus::Storing& first = {});
     // All of it in one transaction, on the disk when this returns. Throws std::runtime_error where that
     // failed: then nothing may be said that follows from it, and the planner ends.
     void store(const std::vector<consensus::Storing>& all);
@@ -41,6 +42,7 @@
     void read(const consensus::Name& name);
     void put(const char* key, const std::string& bytes);
     bool get(const char* key, std::string& bytes);
+    void put_all(const std::vector<consensus::Storing>& all);
     void put_record(std::uint64_t at, const consensus::Record& record);
     [[noreturn]] void failed(const std::string& doing) const;
     [[noreturn]] void damaged(const std::string& what) const;
