The paper's figure 8 as a small world; make try with planners; what leases cost a sidecar

Need: taking out the guard that commits only records of the own reign was missed by nothing: messages carried the old record and the new one together, and the way there is 48 events long.

Change: a beginning that goes there with one record a message; without the guard its last steps say "record 2 is another than was committed". make try ends with three planners beside four sidecars and lists who holds what; the rig measures what holding and waiting cost a sidecar; guards are found however the formatter breaks lines.

--- a/Makefile
+++ b/Makefile
@@ -15,11 +15,11 @@
 	cmake --build build -j4
 
 # Sidecars between the project's own stand-ins, through a rollout: a good build, then a bad one; then a fleet
-# of four, with an audit of all.
+# of four with three planners, an audit of all and who holds what.
 try: build
 	build/tideline_try --program build/tideline
 	build/tideline_try --program build/tideline --bad
-	build/tideline_try --program build/tideline --sidecars 4 --fleet
+	build/tideline_try --program build/tideline --sidecars 4 --fleet --planners 3
 
 test:
 	cmake -B build-tests -DCMAKE_BUILD_TYPE=Debug -DTIDELINE_STRICT=ON
--- a/tools/guards/bite.py
+++ b/tools/guards/bite.py
@@ -6,6 +6,7 @@
 """
 import argparse
 import pathlib
+import re
 import shutil
 import subprocess
 import sys
@@ -118,11 +119,13 @@
                 continue
             path = tree / file
             whole = path.read_text()
-            if whole.count(there) != 1:
-                print(f"{name}: its text stands {whole.count(there)} times in {file}, not once", flush=True)
+            # However the formatter breaks its lines.
+            found = list(re.finditer(r"\s+".join(re.escape(word) for word in there.split()), whole))
+            if len(found) != 1:
+                print(f"{name}: its text stands {len(found)} times in {file}, not once", flush=True)
                 unmissed += 1
                 continue
-            path.write_text(whole.replace(there, gone))
+            path.write_text(whole[: found[0].start()] + gone + whole[found[0].end():])
             built, said = build(tree, out)
             by, lines = misses(out, wish.seeds) if built else (None, said.splitlines()[-5:])
             path.write_text(whole)
--- a/tools/rig/leases.cpp
+++ b/tools/rig/leases.cpp
@@ -577,4 +577,46 @@
     }
 }
 
+void measure_cost(const CouncilWish& wish) {
+    constexpr Seconds kRow = 20;
+    fmt::print(
+        "6 sidecars at 25 invocations a second each, period 0.2 s, roll call every 0.5 s, renewals every 0.3 "
+        "s, {} s a "
+        "row\n\n| sidecars | CPU, ms a second | resident, KB |\n| --- | --- | --- |\n",
+        kSpan);
+    const auto row = [&](World& world, const char* who, const std::function<bool(int)>& counts) {
+        std::vector<double> before(static_cast<std::size_t>(world.wish.members) + 1);
+        double cpu = 0, memory = 0, count = 0;
+        for (int i = 1; i <= world.wish.members; ++i) before[static_cast<std::size_t>(i)] = world.cpu_of(i);
+        world.run(kRow);
+        for (int i = 1; i <= world.wish.members; ++i) {
+            if (!counts(i)) continue;
+            cpu += (world.cpu_of(i) - before[static_cast<std::size_t>(i)]) / kRow * 1e3;
+            memory += static_cast<double>(world.memory_of(i)), ++count;
+        }
+        fmt::print("| {} | {:.2f} | {:.0f} |\n", who, cpu / std::max(1.0, count),
+                   memory / std::max(1.0, count));
+        std::fflush(stdout);
+    };
+    {
+        Fleet play(wish);
+        Wish without = play.fleet_of(wish);
+        without.planners.clear(), without.keep = false;
+        net::Loop loop;
+        World world(loop, without);
+        world.begin();
+        world.run(4);
+        row(world, "without planners", [](int) { return true; });
+    }
+    Fleet play(wish);
+    play.council.begin();
+    play.world.begin();
+    play.world.run(6);
+    const int calls = play.holder("roll-call"), warms = play.holder("warming");
+    row(play.world, "holds a lease", [&](int i) { return i == calls || i == warms; });
+    row(play.world, "waits for both", [&](int i) { return i != calls && i != warms; });
+    for (const std::string& folder : {play.world.folder, play.council.folder})
+        std::filesystem::remove_all(folder);
+}
+
 }  // namespace tideline::rig
--- a/tools/rig/leases.hpp
+++ b/tools/rig/leases.hpp
@@ -14,6 +14,9 @@
 bool play_council(const CouncilWish& wish, const std::string& name, const std::vector<Event>& events);
 // After each of so many kills, stops and cuts of the holder: until the next one acts.
 void measure_gaps(const CouncilWish& wish, int times);
+// What leases cost a sidecar that holds both and one that waits for both, beside the same fleet without
+// planners.
+void measure_cost(const CouncilWish& wish);
 // Grants a second and fsyncs a grant, with 3 and 5 planners, beside one SQLite file with no copies; and what
 // the ways to keep a log cost.
 void measure_grants(const CouncilWish& wish, Seconds span);
--- a/tools/rig/main.cpp
+++ b/tools/rig/main.cpp
@@ -430,6 +430,10 @@
             fmt::print(stderr, "tideline_rig: no scenario {}\n", scenario);
             return 2;
         }
+        if (costs && leases) {
+            measure_cost(council);
+            return 0;
+        }
         if (costs) {
             cost(wish);
             return 0;
--- a/tools/try/main.cpp
+++ b/tools/try/main.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <map>
 
 #include "stand/client.hpp"
@@ -24,7 +25,8 @@
 
 constexpr int kOld = 41, kNew = 42;  // builds
 constexpr int kPodsEach = 4;         // pods of each build
-constexpr int kPodPort = 5432, kListPort = 8500, kPlatformPort = 6400, kClientPort = 5433, kFleetPort = 7801;
+constexpr int kPodPort = 5432, kListPort = 8500, kPlatformPort = 6400, kClientPort = 5433, kFleetPort = 7801,
+              kPlannerPort = 7901, kFirstPlanner = 768;
 constexpr Seconds kBefore = 2;        // s: before the new build is offered
 constexpr Seconds kReadyWithin = 10;  // s: for sidecars to start
 
@@ -34,6 +36,7 @@
     double rate = 60;  // invocations a second and sidecar
     Seconds length = 9;
     bool bad = false, fleet = false;
+    int planners = 0;  // with a fleet: some tasks are done by one for all
 };
 
 double quantile_of(std::vector<double> values, double part) {
@@ -62,6 +65,24 @@
     };
     add_pods(kOld);
     platform.on_votes = std::max(1, wish.sidecars / 2 + 1);
+    std::vector<std::unique_ptr<Process>> planners;
+    std::string planners_told, planner_addresses;
+    for (int i = 0; i < wish.planners; ++i) {
+        const std::string at = text_of(at_port(kFirstPlanner + i, kPlannerPort));
+        planners_told += fmt::format("{}{{ name = \"p{}\"; address = \"{}\"; }}", i ? ", " : "", i, at);
+        planner_addresses += fmt::format("{}\"{}\"", i ? ", " : "", at);
+    }
+    for (int i = 0; i < wish.planners; ++i) {
+        const std::string path = fmt::format("{}/p{}", folder, i);
+        std::ofstream(path + ".cfg") << fmt::format(
+            "planner = {{ name = \"p{}\"; listen = \"{}\"; folder = \"{}.disk\"; planners = ( {} );\n"
+            "  leases = {{ span = 3.0; }}; }};\n",
+            i, text_of(at_port(kFirstPlanner + i, kPlannerPort)), path, planners_told);
+        std::vector<std::string> command{wish.program, "planner", "--file", path + ".cfg"};
+        if (i == 0) command.push_back("--found");
+        planners.push_back(std::make_unique<Process>());
+        planners.back()->start(command, path + ".log");
+    }
     std::vector<std::unique_ptr<Process>> sidecars;
     std::vector<std::unique_ptr<ClientStand>> clients;
     for (int i = 0; i < wish.sidecars; ++i) {
@@ -86,8 +107,12 @@
             const std::string treaty = fmt::format("{}/n{}.cfg", folder, i);
             std::ofstream(treaty) << fmt::format(
                 "fleet = {{ member = \"n{0}\"; place = \"p{0}\"; listen = \"{1}\"; seeds = [\"{2}\"];\n"
-                "  membership = {{ period = 0.2; answer_wait = 0.08; }}; }};\n",
-                i, text_of(at_port(host, kFleetPort)), text_of(at_port(256, kFleetPort)));
+                "  membership = {{ period = 0.2; answer_wait = 0.08; }}; {3} }};\n",
+                i, text_of(at_port(host, kFleetPort)), text_of(at_port(256, kFleetPort)),
+                planners.empty()
+                    ? ""
+                    : fmt::format("planners = {{ addresses = [{}]; ask_again = 0.5; roll_call = 1.0; }};",
+                                  planner_addresses));
             command.insert(command.end(), {"--fleet", treaty});
         }
         sidecars.back()->start(command, fmt::format("{}/n{}.log", folder, i));
@@ -145,6 +170,26 @@
         std::fflush(stdout);
         if (std::system(audit.c_str()) != 0) fmt::print("the audit says that not all is well\n");
     }
+    bool leases_held = true;
+    if (!planners.empty()) {
+        const std::string at = text_of(at_port(kFirstPlanner + 1, kPlannerPort));
+        for (const char* what : {"planners list", "lease list"}) {
+            const std::string ask = fmt::format("{} {} --at {}", wish.program, what, at);
+            fmt::print("\n$ {}\n", ask);
+            std::fflush(stdout);
+            leases_held &= std::system(ask.c_str()) == 0;
+        }
+        for (const char* lease : {"roll-call", "warming"}) {
+            bool held = false;
+            for (int i = 0; i < wish.sidecars; ++i) {
+                std::ifstream log(fmt::format("{}/n{}.log", folder, i));
+                const std::string text{std::istreambuf_iterator<char>(log), {}};
+                held |= text.find(fmt::format("holds '{}' under fence", lease)) != std::string::npos;
+            }
+            leases_held &= held;
+        }
+        if (!leases_held) fmt::print("nobody holds a lease\n");
+    }
     const auto state = platform.state();
     fmt::print("\nbuild {}: {}, stage {}, cap {}\n", state["version"].get<int>(),
                state["status"].get<std::string>(), state["step"].get<int>(),
@@ -153,10 +198,13 @@
     for (auto& each : sidecars) each->signal(SIGTERM);
     pass_until(net::clock_now() + 1.5);
     for (auto& each : sidecars) bad_end += each->ended() != std::optional<int>(0);
-    if (bad_end) fmt::print("{} sidecars did not end in order, see {}\n", bad_end, folder);
+    for (auto& each : planners) each->signal(SIGTERM);
+    pass_until(net::clock_now() + (planners.empty() ? 0 : 0.3));
+    for (auto& each : planners) bad_end += each->ended() != std::optional<int>(0);
+    if (bad_end) fmt::print("{} processes did not end in order, see {}\n", bad_end, folder);
     const std::string wanted = wish.bad ? "revert" : "stable";
-    const bool good = unanswered == 0 && succeeded > 0 && !bad_end && state["version"] == kNew &&
-                      state["status"].get<std::string>().starts_with(wanted);
+    const bool good = unanswered == 0 && succeeded > 0 && !bad_end && leases_held &&
+                      state["version"] == kNew && state["status"].get<std::string>().starts_with(wanted);
     if (good) std::filesystem::remove_all(folder);
     fmt::print("{}\n", good ? "all as it should be" : fmt::format("not as it should be; logs in {}", folder));
     return good ? 0 : 1;
@@ -176,8 +224,12 @@
         ->capture_default_str();
     app.add_option("--length", wish.length, "seconds")->check(CLI::Range(6, 120))->capture_default_str();
     app.add_flag("--fleet", wish.fleet, "they know of each other; ends with an audit of all");
+    app.add_option("--planners", wish.planners, "with --fleet: so many, and a list of who holds what")
+        ->check(CLI::Range(0, 9))
+        ->capture_default_str();
     app.add_flag("--bad", wish.bad, "the new build fails 40% of its dispatches");
     CLI11_PARSE(app, argc, argv);
+    if (wish.planners > 0) wish.fleet = true;
     try {
         return run(wish);
     } catch (const std::exception& error) {
--- a/tools/worlds/leases.cpp
+++ b/tools/worlds/leases.cpp
@@ -16,14 +16,14 @@
 constexpr int kPlanners = 3, kMembers = 2;
 constexpr double kStep = 1;  // s: time moves on in such steps
 
-CouncilTerms terms() {
+CouncilTerms terms(std::size_t batch) {
     CouncilTerms all;
     all.planners = kPlanners, all.members = kMembers;
     // Clocks far apart, so that a few steps of time show what the drift can do.
     all.drift = 0.2;
     all.office.leases = {3, 0.2, 100, 100};
     // Elections and a leader's messages happen when the search says so, in every order.
-    all.office.log = {1e9, 1e9, 2e9, 128, false};
+    all.office.log = {1e9, 1e9, 2e9, batch, false};
     all.lessee = {100, 100, 100};
     return all;
 }
@@ -63,7 +63,7 @@
 }
 
 struct World {
-    World() : council(terms()) {}
+    explicit World(std::size_t batch = 128) : council(terms(batch)) {}
     World(const World&) = default;
 
     void collect() {
@@ -194,6 +194,57 @@
 }  // namespace
 
 std::vector<Beginning> beginnings() {
+    // The paper's figure 8, in a world of three: a record of reign 2 comes to a majority under reign 4, and a
+    // log with one of reign 3 in its place wins reign 5.
+    const std::vector<std::string> overtaken{
+        "p1 stands",
+        "p1 has stored",
+        "p1 to p2: asks for a vote in reign 2",
+        "p2 has stored",
+        "p2 to p1: votes in reign 2",
+        "p1 has stored",
+        "p1 crashes",
+        "p2 stands",
+        "p2 has stored",
+        "p2 to p3: asks for a vote in reign 3",
+        "p3 has stored",
+        "p3 to p2: votes in reign 3",
+        "p2 has stored",
+        "p2 crashes",
+        "p1 starts",
+        "p1 stands",
+        "p1 has stored",
+        "p1 to p3: asks for a vote in reign 3",
+        "p3 to p1: does not vote in reign 3",
+        "p1 stands",
+        "p1 has stored",
+        "p1 to p3: asks for a vote in reign 4",
+        "p3 has stored",
+        "p3 to p1: votes in reign 4",
+        "p1 has stored",
+        "p1 to p3: tells 1 records from 3, committed 1, round 1 in reign 4",
+        "p3 to p1: has 1 (no fit), round 1 in reign 4",
+        "p1 to p3: tells 1 records from 2, committed 1, round 1 in reign 4",
+        "p3 has stored",
+        "p3 to p1: has 2, round 1 in reign 4",
+        "p1 crashes",
+        "p2 starts",
+        "p2 stands",
+        "p2 has stored",
+        "p2 to p3: asks for a vote in reign 4",
+        "p3 to p2: does not vote in reign 4",
+        "p2 stands",
+        "p2 has stored",
+        "p2 to p3: asks for a vote in reign 5",
+        "p3 has stored",
+        "p3 to p2: votes in reign 5",
+        "p2 has stored",
+        "p2 to p3: tells 1 records from 3, committed 1, round 1 in reign 5",
+        "p3 to p2: has 1 (no fit), round 1 in reign 5",
+        "p2 to p3: tells 1 records from 2, committed 1, round 1 in reign 5",
+        "p3 has stored",
+        "p3 to p2: has 2, round 1 in reign 5",
+        "p2 to p3: tells 1 records from 3, committed 1, round 1 in reign 5"};
     const std::vector<std::string> led{"p1 stands", "settle"};
     const auto then = [](std::vector<std::string> begun, const std::vector<std::string>& more) {
         begun.insert(begun.end(), more.begin(), more.end());
@@ -231,6 +282,12 @@
                     "p1 has stored", "p1 to p2: tells 1 records from 3, committed 2, round 1 in reign 2"}),
          {1, 0, 1, 0, 0, 0, 0, 3},
          13},
+        {"overtaken",
+         "a record of an old reign lies with a majority, and another one wins",
+         overtaken,
+         {1, 1, 0, 0, 0, 0, 0, 3},
+         6,
+         1},
         {"fence",
          "m3 has asked its guard and stands still, m4 holds it meanwhile",
          then(then(held, {"m3 asks its guard"}), then(steps, {"settle but m3"})),
@@ -257,18 +314,18 @@
 
 Found search_leases(const Beginning& beginning, int depth, std::size_t most) {
     Search<World> search(most);
-    World world;
+    World world(beginning.batch);
     world.left = kPlenty;
     if (!run(world, search, beginning.events)) return search.found(false);
     world.left = beginning.budgets;
     return search.found(search.from(world, depth));
 }
 
-bool replay(const std::string& path) {
+bool replay(const std::string& path, std::size_t batch) {
     std::ifstream file(path);
     if (!file) throw std::runtime_error("can't read " + path);
     Search<World> search(0);
-    World world;
+    World world(batch);
     world.left = kPlenty;
     world.left.repeats = 9;
     for (std::string line; std::getline(file, line);) {
--- a/tools/worlds/leases.hpp
+++ b/tools/worlds/leases.hpp
@@ -20,10 +20,11 @@
     std::vector<std::string> events;  // texts; "settle": all that is on its way arrives; "settle but p1 m4"
     Budgets budgets;
     int depth = 0;
+    std::size_t batch = 128;  // records in one message
 };
 std::vector<Beginning> beginnings();
 Found search_leases(const Beginning& beginning, int depth, std::size_t most);
 // Runs a schedule, one event a line. True if all held.
-bool replay(const std::string& path);
+bool replay(const std::string& path, std::size_t batch);
 
 }  // namespace tideline::worlds
--- a/tools/worlds/main.cpp
+++ b/tools/worlds/main.cpp
@@ -41,11 +41,13 @@
     app.add_option("--states", most, "at most")->capture_default_str();
     app.add_option("--only", only, "currency, or one of the searches of planners and leases");
     app.add_option("--replay", replay_path, "a schedule of planners and leases, as a fault was printed");
+    std::size_t batch = 128;
+    app.add_option("--batch", batch, "with --replay: records in one message")->capture_default_str();
     bool first_fault = false;
     app.add_flag("--first-fault", first_fault, "the other searches end once one has found a fault");
     CLI11_PARSE(app, argc, argv);
     try {
-        if (!replay_path.empty()) return replay(replay_path) ? 0 : 1;
+        if (!replay_path.empty()) return replay(replay_path, batch) ? 0 : 1;
         // Each search is its own; the lines come in their order.
         std::vector<std::future<Told>> all;
         if (only.empty() || only == "currency")
