--- a/tools/rig/leases.cpp
+++ b/tools/rig/leases.cpp
@@ -323,15 +323,16 @@
 
 // --- Sidecars with planners: what is done by one for all
 struct Fleet {
-    explicit Fleet(const CouncilWish& wish) : council(loop, planners_of(wish)), world(loop, fleet_of(wish)) {}
+    explicit Fleet(const CouncilWish& wish)
+        : council(loop, planners_of(wish)), world(loop, fleet_of(wish, council.addresses())) {}
     CouncilWish planners_of(CouncilWish wish) const {
         wish.planners = 3, wish.holders = 0, wish.before = 200;
         return wish;
     }
-    Wish fleet_of(const CouncilWish& wish) const {
+    static Wish fleet_of(const CouncilWish& wish, std::vector<std::string> planners) {
         Wish all;
         all.program = wish.program, all.members = 6, all.seed = wish.seed, all.keep = true;
-        all.planners = council.addresses(), all.ready_for = 3, all.rate = 25;
+        all.planners = std::move(planners), all.ready_for = 3, all.rate = 25;
         return all;
     }
     net::Loop loop;
@@ -583,7 +584,7 @@
         "6 sidecars at 25 invocations a second each, period 0.2 s, roll call every 0.5 s, renewals every 0.3 "
         "s, {} s a "
         "row\n\n| sidecars | CPU, ms a second | resident, KB |\n| --- | --- | --- |\n",
-        kSpan);
+        kRow);
     const auto row = [&](World& world, const char* who, const std::function<bool(int)>& counts) {
         std::vector<double> before(static_cast<std::size_t>(world.wish.members) + 1);
         double cpu = 0, memory = 0, count = 0;
@@ -599,9 +600,8 @@
         std::fflush(stdout);
     };
     {
-        Fleet play(wish);
-        Wish without = play.fleet_of(wish);
-        without.planners.clear(), without.keep = false;
+        Wish without = Fleet::fleet_of(wish, {});
+        without.keep = false;
         net::Loop loop;
         World world(loop, without);
         world.begin();
--- a/tools/rig/main.cpp
+++ b/tools/rig/main.cpp
@@ -409,6 +409,10 @@
             measure_grants(council, grants);
             return 0;
         }
+        if (costs && leases) {
+            measure_cost(council);
+            return 0;
+        }
         if (leases) {
             if (!schedule.empty()) {
                 std::ifstream file(schedule);
@@ -430,10 +434,6 @@
             fmt::print(stderr, "tideline_rig: no scenario {}\n", scenario);
             return 2;
         }
-        if (costs && leases) {
-            measure_cost(council);
-            return 0;
-        }
         if (costs) {
             cost(wish);
             return 0;
