LMDB is measured beside the ways to keep the log

Its row was missing from the measurement, though the library was linked for it. The choice stands: the others don't tell a log that was cut, or a byte that was altered.

--- a/tools/rig/grants.cpp
+++ b/tools/rig/grants.cpp
@@ -185,6 +185,27 @@
             span);
         ::close(fd);
     }
+    {
+        MDB_env* env = nullptr;
+        std::filesystem::create_directory(folder + "/c");
+        ::mdb_env_create(&env);
+        ::mdb_env_set_mapsize(env, 256 * 1024 * 1024);
+        ::mdb_env_open(env, (folder + "/c").c_str(), 0, 0600);
+        std::string bytes(60, 'x');
+        kept(
+            "LMDB",
+            [&](std::uint64_t at) {
+                MDB_txn* txn = nullptr;
+                MDB_dbi dbi = 0;
+                MDB_val key{sizeof at, &at}, value{bytes.size(), bytes.data()};
+                ::mdb_txn_begin(env, nullptr, 0, &txn);
+                ::mdb_dbi_open(txn, nullptr, MDB_INTEGERKEY, &dbi);
+                ::mdb_put(txn, dbi, &key, &value, 0);
+                ::mdb_txn_commit(txn);
+            },
+            span);
+        ::mdb_env_close(env);
+    }
     fmt::print(
         "\n{} s a row; times from a take to its grant\n\n"
         "| way | at once | grants a second | median, ms | p99, ms | fsyncs a grant, leader | CPU of the "
