--- a/src/audit/rollcall.cpp
+++ b/src/audit/rollcall.cpp
@@ -26,7 +26,6 @@
 void RollCall::tick(Seconds now) {
     if (!holds_ || now < next_) return;
     next_ = now + every_;
-    ++calls_;
     host_.gather();
 }
 void RollCall::gathered(Seconds, const std::vector<Called>& rows) {
--- a/src/audit/rollcall.hpp
+++ b/src/audit/rollcall.hpp
@@ -40,7 +40,6 @@
     void settled(const std::string& key, bool raised);  // it stands, or does not any more
     void tick(Seconds now);
     Seconds due() const;
-    std::uint64_t calls() const { return calls_; }
 
   private:
     RollCallHost& host_;
@@ -49,7 +48,6 @@
     Seconds next_ = 0;
     std::optional<std::set<std::string>> standing_;
     std::map<std::string, int> seen_;  // calls in a row in which it was so
-    std::uint64_t calls_ = 0;
 };
 
 }  // namespace tideline::audit
--- a/src/fleet/question.cpp
+++ b/src/fleet/question.cpp
@@ -8,36 +8,47 @@
 
 constexpr std::size_t kFrameMost = 64 * 1024 * 1024;  // bytes: the most an operator file may allow
 
+wire::Word asking(bool audit) {
+    wire::Word word;
+    word.mutable_ask_fleet()->set_audit(audit);
+    return word;
+}
+
 }  // namespace
 
-Question::Question(net::Loop& loop, const net::Address& address, bool audit)
+Words::Words(net::Loop& loop, const net::Address& address, const wire::Word& first)
     : Link(loop, kFrameMost + kFrameHead) {
-    wire::Word word;
-    word.mutable_ask_fleet()->set_audit(audit);
     open(address);
-    put(frame_with(word));
+    say(first);
 }
-
-void Question::came_in() {
+void Words::say(const wire::Word& word) { put(frame_with(word)); }
+void Words::came_in() {
     std::string_view body;
     for (std::size_t used = 0; !over;) {
         const FrameRead read = next_frame(in_.all(), kFrameMost, body, used, why);
         if (read == FrameRead::more) return;
         wire::Word word;
-        if (read == FrameRead::bad || !read_word(body, word) || !word.has_fleet()) {
+        if (read == FrameRead::bad || !read_word(body, word) || !took(word)) {
             if (why.empty()) why = "an answer to something else";
             over = true;
             return;
         }
         in_.drop(used);
-        head = word.fleet();
-        for (const wire::Row& row : head.rows()) rows.push_back(row);
-        if (head.last()) whole = over = true;
     }
 }
-void Question::ended() {
+void Words::ended() {
     over = true;
     if (why.empty()) why = "the connection ended";
 }
 
+Question::Question(net::Loop& loop, const net::Address& address, bool audit)
+    : Words(loop, address, asking(audit)) {}
+bool Question::took(const wire::Word& word) {
+    if (!word.has_fleet()) return false;
+    head = word.fleet();
+    for (const wire::Row& row : head.rows()) rows.push_back(row);
+    if (head.last()) whole = over = true;
+    return true;
+}
+
 }  // namespace tideline::fleet
--- a/src/fleet/question.hpp
+++ b/src/fleet/question.hpp
@@ -1,4 +1,4 @@
-// One question to any member, and the rows that come for it. For the command line and for rigs.
+// Questions to members and planners from outside: for the command line and for rigs.
 #pragma once
 
 #include <string>
@@ -9,18 +9,32 @@
 
 namespace tideline::fleet {
 
-class Question : public net::Link {
+// A connection that says one word to a member or a planner and is told each word that comes back.
+class Words : public net::Link {
   public:
-    // Of the roll, or of the audit of all.
-    Question(net::Loop& loop, const net::Address& address, bool audit);
-    std::vector<wire::Row> rows;
-    wire::Fleet head;                  // of the last answer
-    bool whole = false, over = false;  // all came; nothing more will
-    std::string why;                   // it is over and not whole
+    bool over = false;  // nothing more will come
+    std::string why;    // it ended without all that was asked for
 
   protected:
+    Words(net::Loop& loop, const net::Address& address, const wire::Word& first);
+    virtual bool took(const wire::Word& word) = 0;  // false: it is no answer to what was asked
+    void say(const wire::Word& word);
+
+  private:
     void came_in() override;
     void ended() override;
 };
 
+class Question : public Words {
+  public:
+    // Of the roll, or of the audit of all.
+    Question(net::Loop& loop, const net::Address& address, bool audit);
+    std::vector<wire::Row> rows;
+    wire::Fleet head;    // of the last answer
+    bool whole = false;  // all came
+
+  private:
+    bool took(const wire::Word& word) override;
+};
+
 }  // namespace tideline::fleet
