--- a/src/audit/rollcall.cpp
+++ b/src/audit/rollcall.cpp
@@ -47,8 +47,15 @@
             continue;
         host_.raise(key, text);
     }
+    // Danger: one odd answer on the way, from gone to unreachable and back, would clear an alarm and raise it
+    // again. What stands of a member stays until it is well.
+    std::set<std::string> stays;
+    for (const Called& each : rows)
+        if (each.state != "current" && each.state != "behind" && each.state != "left")
+            for (const char* kind : {"straggler ", "shut out ", "unreachable ", "gone "})
+                stays.insert(kind + each.name.value);
     for (const std::string& key : *standing_)
-        if (!wanted.contains(key)) host_.clear(key);
+        if (!wanted.contains(key) && !stays.contains(key)) host_.clear(key);
 }
 void RollCall::settled(const std::string& key, bool raised) {
     if (!standing_) return;
