--- a/tools/rig/leases.cpp
+++ b/tools/rig/leases.cpp
@@ -1,6 +1,7 @@
 #include "rig/leases.hpp"
 
 #include <fmt/format.h>
+#include <sqlite3.h>
 
 #include <algorithm>
 #include <csignal>
@@ -218,6 +219,37 @@
     }
 }
 // Cut in the middle of a record, or with bytes that were altered: it does not start, and says what to do.
+// One bit in the middle of a row, wherever in the file that stands. Danger: a kill may leave a journal that
+// puts back whole pages as they were, the log may have just become a snapshot, and the last page may hold
+// nothing. So the file is settled first, and the longest row that lies on one page is searched for.
+bool alter_row(const std::string& path) {
+    constexpr const char* kRow =
+        "SELECT bytes FROM (SELECT bytes FROM log UNION ALL SELECT bytes FROM kept) "
+        "WHERE length(bytes) BETWEEN 8 AND 800 ORDER BY length(bytes) DESC LIMIT 1";
+    std::string body;
+    sqlite3* db = nullptr;
+    sqlite3_stmt* newest = nullptr;
+    if (sqlite3_open(path.c_str(), &db) == SQLITE_OK &&
+        sqlite3_exec(db, "BEGIN EXCLUSIVE; COMMIT", nullptr, nullptr, nullptr) == SQLITE_OK &&
+        sqlite3_prepare_v2(db, kRow, -1, &newest, nullptr) == SQLITE_OK && sqlite3_step(newest) == SQLITE_ROW)
+        body.assign(static_cast<const char*>(sqlite3_column_blob(newest, 0)),
+                    static_cast<std::size_t>(sqlite3_column_bytes(newest, 0)));
+    sqlite3_finalize(newest);
+    sqlite3_close(db);
+    if (body.empty()) return false;
+    std::string whole;
+    {
+        std::ifstream file(path, std::ios::binary);
+        whole.assign(std::istreambuf_iterator<char>(file), {});
+    }
+    bool found = false;
+    for (auto at = whole.find(body); at != std::string::npos; at = whole.find(body, at + body.size())) {
+        whole[at + body.size() / 2] ^= 0x10;
+        found = true;
+    }
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << whole;
+    return found;
+}
 void damaged_disks(Council& play) {
     for (const char* how : {"cut", "altered"}) {
         const int leads = play.world.leader(), one = leads == 3 ? 4 : 3;
@@ -226,12 +258,7 @@
         if (*how == 'c') {
             std::filesystem::resize_file(path, std::filesystem::file_size(path) - 3000);
         } else {
-            // The last page holds records; one bit in the middle of it.
-            std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
-            const auto at = static_cast<std::streamoff>(std::filesystem::file_size(path)) - 100;
-            char byte = 0;
-            file.seekg(at).get(byte);
-            file.seekp(at).put(static_cast<char>(byte ^ 0x10));
+            play.expect(alter_row(path), "altered: the file holds no row to alter");
         }
         play.apply("start", {static_cast<double>(one)});
         const auto status = play.ends(one);
