--- /dev/null
+++ b/src/holdings/claims.hpp
@@ -0,0 +1,135 @@
+// A sidecar's side of the effect ledger: before a dispatch goes out that must not run twice it is written
+// down at the key's home; what a client's repeat gets; what came of each. No I/O, no clock. What may be sent
+// where stays the decision module's: this only says what is known of others' dispatches.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "holdings/keeper.hpp"
+
+namespace tideline::holdings {
+
+class ClaimsHost {
+  public:
+    virtual ~ClaimsHost() = default;
+    virtual void ask_claim(const Name& home, AskNo no, const Key& key, const Try& what,
+                           std::optional<Version> knows) = 0;
+    virtual void ask_settle(const Name& home, AskNo no, const Key& key, const Try& what,
+                            const std::string& answer) = 0;
+    virtual void ask_keep(const Name& home, AskNo no, const Key& key, const std::string& bytes) = 0;
+    virtual void ask_look(const Name& home, AskNo no, const Key& key) = 0;
+    virtual void want_table(View least) = 0;
+    // What comes of a dispatch that was about to go out:
+    virtual void go(InvId inv, DispatchNo no) = 0;  // it may
+    virtual void cannot(InvId inv,
+                        Seconds come_back) = 0;  // not written down in time: throttled; it never ran
+    virtual void waits(InvId inv) = 0;  // it never ran; the invocation is no longer the decision module's
+    // And of an invocation that waits:
+    virtual void kept(InvId inv, const std::string& answer) = 0;  // it ran before: this came of it
+    virtual void enter(InvId inv,
+                       const std::vector<Try>& earlier) = 0;  // to be decided anew, knowing of these
+    virtual void unknown(InvId inv) = 0;                      // it may have run, and can't be known
+    virtual void looked(const Key& key, const Record* record) = 0;
+    virtual void alarm(const std::string& text) = 0;
+};
+
+struct ClaimsTerms {
+    Seconds within = 0.5;      // for the copies to be made, before a dispatch goes out
+    Seconds again = 0.1;       // until a question without an answer is asked again
+    Seconds look_every = 0.1;  // while another's dispatch is running
+    Seconds settle_for = 60;   // what came of a dispatch is told for so long, until it is taken
+    Seconds stranger = 10;     // who has not been heard of for so long after the start is dead
+    bool alone = false;        // not made in time: go on as a sidecar that shares nothing, else throttle
+    Seconds come_back = 1;     // told to those throttled
+};
+
+// An invocation that must not run twice.
+struct Covered {
+    InvId inv;
+    Key key;
+    bool repeatable =
+        false;  // pods tell repeats by its fingerprint; else no dispatch may follow one that may have run
+    Seconds ends = 0;
+};
+
+class Claims {
+  public:
+    Claims(ClaimsHost& host, const ClaimsTerms& terms, const Name& self, const Life& life, Seconds now);
+    Claims(const Claims& other, ClaimsHost& host);
+    Claims& operator=(const Claims&) = delete;
+
+    void table_told(Seconds now, const Table& table);
+    void member_is(Seconds now, const Name& name, const Life& life, bool gone);
+    // The decision module has chosen where it is to go. Told by go, cannot or waits.
+    void about_to_go(Seconds now, const Covered& what, DispatchNo no, Location location, Cell cell);
+    void ended(Seconds now, InvId inv, DispatchNo no, Fate fate, const std::string& answer);
+    void over(Seconds now, InvId inv);  // it has its answer, or nobody waits for one
+    void keep(Seconds now, const Key& key, const std::string& bytes);  // until all copies have it
+    void look(Seconds now, const Key& key);
+    // `record`: its times are on the own clock, counted from when it came.
+    void replied(Seconds now, AskNo no, Reply what, View number, const Record* record);
+    void tick(Seconds now);
+    Seconds due() const;
+
+    std::set<Name> silent(Seconds now) const;  // homes that let questions wait
+    std::uint64_t granted() const { return granted_; }
+    std::uint64_t uncopied() const { return uncopied_; }    // went out with no copy, as the operator told
+    std::uint64_t throttled() const { return throttled_; }  // for want of copies
+    std::uint64_t repeats() const { return repeats_; }      // answered by what was kept
+    std::size_t unsettled() const { return telling_.size(); }
+    std::string state() const;
+
+  private:
+    enum class Phase { claims, out, waits };
+    struct Open {
+        Covered what;
+        Phase phase = Phase::claims;
+        Try its;  // the newest dispatch
+        std::optional<Version> knows;
+        Seconds since = 0, asked = 0, again_at = 0;
+        AskNo no;
+    };
+    struct Telling {  // until a home has taken it
+        enum What { settle, keep, look } what = settle;
+        Key key;
+        Try its;
+        std::string bytes;
+        Seconds since = 0, again_at = 0;
+        AskNo no;
+    };
+    const Name* home_of(const Key& key) const;
+    void ask(Seconds now, Open& open);
+    void tell(Seconds now, std::uint64_t at, Telling& telling);
+    void tell_later(Seconds now, Telling::What what, const Key& key, const Try& its,
+                    const std::string& bytes);
+    void fail(Seconds now, Open& open);
+    void judge(Seconds now, Open& open, const Record* record);
+    bool dead(Seconds now, const Claimant& by) const;
+    void waits_for(Seconds now, const Name& home);
+    void answered_by(const Key& key);
+    AskNo next() { return AskNo{++last_ask_}; }
+
+    ClaimsHost* host_;
+    ClaimsTerms terms_;
+    Name self_;
+    Life life_;
+    Seconds began_;
+    Table table_;
+    std::map<InvId, Open> open_;
+    std::map<std::uint64_t, Telling> telling_;
+    std::map<AskNo, InvId> asked_;
+    std::map<AskNo, std::uint64_t> told_;
+    std::map<Name, Life> lives_;
+    std::set<Name> gone_;
+    std::map<Name, std::pair<Seconds, Seconds>>
+        waiting_for_;  // homes that owe an answer: since when, asked last
+    std::uint64_t last_ask_, last_telling_ = 0;
+    std::uint64_t granted_ = 0, uncopied_ = 0, throttled_ = 0, repeats_ = 0;
+    bool in_need_ = false;  // told by an alarm, once
+};
+
+}  // namespace tideline::holdings
--- /dev/null
+++ b/src/holdings/keeper.cpp
@@ -0,0 +1,718 @@
+#include "holdings/keeper.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace tideline::holdings {
+namespace {
+
+// Danger: ages are counted from when a word arrives, so one that was long on its way would make a dispatch
+// look later than it was. What took longer than this counts as never acknowledged; receivers put it off by as
+// much.
+constexpr Seconds kWayMost = 5;
+constexpr Seconds kGoing = 5;             // s: members drop the same record at about the same time
+constexpr Seconds kSweepEvery = 1;        // s: for what is to be dropped
+constexpr std::size_t kQueuedMost = 256;  // questions on one key: whoever asks more is told to come again
+constexpr std::size_t kTriesMost = 32;    // of one key; those known not to have run go first
+constexpr double kAllowanceSpan = 0.25;   // s of the repair rate that may be saved up
+constexpr Seconds kNever = std::numeric_limits<double>::infinity();
+
+std::size_t size_of(const Record& record) { return 96 + record.answer.size() + 64 * record.tries.size(); }
+
+}  // namespace
+
+Keeper::Keeper(KeeperHost& host, const KeeperTerms& terms, const Name& self, const Disk& disk, Found found,
+               Seconds now)
+    : host_(&host),
+      terms_(terms),
+      self_(self),
+      disk_(disk),
+      starts_(found.starts),
+      seen_(found.number),
+      // Danger: a write that went out and was lost on the own disk must not be numbered like a later one.
+      last_step_(found.starts << 40),
+      now_(now),
+      due_(now),
+      allowed_at_(now) {
+    for (auto& [slot, record] : found.records) {
+        record.drop_at += now;
+        // How long ago it went out is not known any more: too long for any repeat.
+        for (Try& each : record.tries) each.sent = -kNever;
+        const Key key = record.key;
+        shelves_[slot].read_back = true;
+        shelves_[slot].records.insert_or_assign(key, std::move(record));
+    }
+    for (const Slot slot : found.rotten) {
+        shelves_[slot].rotten = true;
+        host.note(fmt::format("slot {} was altered on the disk: it is fetched again", slot.value));
+    }
+    // Its number belongs to a disk that was read: nothing is acted on before a table as new is here.
+    host.want_table(seen_);
+}
+Keeper::Keeper(const Keeper& other, KeeperHost& host) : Keeper(other) { host_ = &host; }
+
+bool Keeper::home(const Shelf& shelf) const {
+    return !shelf.rotten && !shelf.seats.copies.empty() && shelf.seats.home() == self_;
+}
+
+// --- Who holds what
+void Keeper::table_told(Seconds now, const Table& table) {
+    now_ = now;
+    // Danger: a planner that lags, asked after a restart, would bring back homes that were deposed.
+    if (table.number < seen_ || table.number <= table_.number) return;
+    table_ = table;
+    seen_ = table.number;
+    last_store_.value += 1;
+    host_->store_number(last_store_, seen_);
+    const auto its = table.disks.find(self_);
+    const bool mine = its != table.disks.end() && its->second == disk_;
+    const bool other_size = !shelves_.empty() && shelves_.rbegin()->first.value >= table.slots.size();
+    if (other_size) host_->note("the table has fewer slots than are held: what is beyond them is dropped");
+    std::vector<Key> dropped;
+    const auto clear = [&](Slot slot, Shelf& shelf) {
+        drop_ops(slot, shelf);
+        shelf.records.clear();
+        shelf.rotten = false;
+        last_store_.value += 1;
+        host_->store_clear(last_store_, slot);
+    };
+    for (auto it = shelves_.begin(); it != shelves_.end();) {
+        const bool there = it->first.value < table.slots.size();
+        const Seats* seats = there ? &table.slots[it->first.value] : nullptr;
+        if (mine && seats && (seats->holds(self_) || seats->joins(self_))) {
+            ++it;
+            continue;
+        }
+        clear(it->first, it->second);
+        it = shelves_.erase(it);
+    }
+    for (std::uint32_t i = 0; mine && i < table.slots.size(); ++i) {
+        const Seats& seats = table.slots[i];
+        if (!seats.holds(self_) && !seats.joins(self_)) continue;
+        Shelf& shelf = shelves_[Slot{i}];
+        const Seats before = std::exchange(shelf.seats, seats);
+        // Danger: before it was started anew this home may have told of one as brought up, which is then made
+        // a copy. So whoever joins counts, until the seats change.
+        const bool anew = std::exchange(shelf.read_back, false) || before.since == View{};
+        const bool was_home = !before.copies.empty() && before.home() == self_;
+        if (seats.since == before.since) {
+            shelf.seats = seats;
+            continue;
+        }
+        // Who joins, or begins a slot that was lost, holds nothing that can be wrong.
+        if (shelf.rotten && (seats.joins(self_) || seats.blind > before.blind)) clear(Slot{i}, shelf);
+        std::erase_if(shelf.records, [&](const auto& each) {
+            const bool old = each.second.version.view < seats.blind;
+            if (old) dropped.push_back(each.first);
+            return old;
+        });
+        shelf.open = false;
+        shelf.syncs.clear();
+        if (!home(shelf)) {
+            drop_ops(Slot{i}, shelf);
+            continue;
+        }
+        if (seats.blind > View{} && seats.blind != before.blind) shelf.blind_until = now + terms_.keep;
+        if (!was_home) drop_ops(Slot{i}, shelf);
+        // What was on its way goes to all that hold the slot now.
+        for (auto op = ops_.begin(); op != ops_.end();) {
+            if (op->second.slot != Slot{i}) {
+                ++op;
+            } else if (op->second.repairs) {
+                op = ops_.erase(op);
+            } else {
+                op->second.waits.clear();
+                for (const Name& each : seats.copies)
+                    if (each != self_) op->second.waits[each] = now;
+                send(now, op->first, op->second);
+                ++op;
+            }
+        }
+        std::vector<OpNo> free;
+        for (const auto& [no, op] : ops_)
+            if (op.slot == Slot{i} && op.waits.empty() && op.stores <= stored_) free.push_back(no);
+        for (const Name& each : seats.copies) {
+            if (each == self_) continue;
+            shelf.syncs[each].counts = true;
+            compare(now, Slot{i}, shelf, each);
+        }
+        for (const Name& each : seats.joining) {
+            shelf.syncs[each].counts = anew && seats.since < table.number;
+            compare(now, Slot{i}, shelf, each);
+        }
+        shelf.compare_at = now + terms_.compare;
+        look_at_syncs(now, Slot{i}, shelf);
+        for (const OpNo no : free) settle_op(now, no);
+    }
+    if (!dropped.empty()) {
+        last_store_.value += 1;
+        host_->store_drop(last_store_, dropped);
+    }
+    wake_at(now + terms_.again);
+}
+
+void Keeper::drop_ops(Slot slot, Shelf& shelf) {
+    for (auto it = ops_.begin(); it != ops_.end();) {
+        if (it->second.slot != slot) {
+            ++it;
+            continue;
+        }
+        if (it->second.asker)
+            host_->reply(it->second.asker->first, it->second.asker->second, Reply::not_here, table_.number,
+                         nullptr);
+        it = ops_.erase(it);
+    }
+    for (const auto& [key, all] : shelf.queued)
+        for (const Request& each : all)
+            host_->reply(each.from, each.no, Reply::not_here, table_.number, nullptr);
+    shelf.busy.clear(), shelf.queued.clear(), shelf.syncs.clear();
+    shelf.open = false;
+}
+
+// --- Questions
+Keeper::Request Keeper::asked(Request::What what, const Name& from, AskNo no, const Key& key) {
+    Request request;
+    request.what = what, request.from = from, request.no = no, request.key = key;
+    return request;
+}
+void Keeper::claim(Seconds now, const Name& from, AskNo no, const Key& key, const Try& what,
+                   std::optional<Version> knows) {
+    Try its = what;
+    its.sent = now;  // it goes out after it was granted, so not before this
+    its.fate = Fate::out;
+    Request request = asked(Request::claim, from, no, key);
+    request.its = its, request.knows = knows;
+    ask(now, std::move(request));
+}
+void Keeper::settle(Seconds now, const Name& from, AskNo no, const Key& key, const Try& what,
+                    const std::string& answer) {
+    Request request = asked(Request::settle, from, no, key);
+    request.its = what, request.bytes = answer;
+    ask(now, std::move(request));
+}
+void Keeper::keep(Seconds now, const Name& from, AskNo no, const Key& key, const std::string& bytes) {
+    Request request = asked(Request::keep, from, no, key);
+    request.bytes = bytes;
+    ask(now, std::move(request));
+}
+void Keeper::look(Seconds now, const Name& from, AskNo no, const Key& key) {
+    ask(now, asked(Request::look, from, no, key));
+}
+void Keeper::ask(Seconds now, Request request) {
+    now_ = now;
+    const auto reply = [&](Reply what) {
+        host_->reply(request.from, request.no, what, table_.number, nullptr);
+    };
+    if (table_.slots.empty()) return reply(Reply::not_now);
+    const Slot slot = table_.slot_of(request.key);
+    const auto it = shelves_.find(slot);
+    if (it == shelves_.end() || !home(it->second)) return reply(Reply::not_here);
+    Shelf& shelf = it->second;
+    if (!shelf.open) return reply(Reply::not_now);
+    if (!shelf.busy.contains(request.key)) return serve(now, slot, shelf, request);
+    auto& queue = shelf.queued[request.key];
+    if (queue.size() >= kQueuedMost) return reply(Reply::not_now);
+    queue.push_back(std::move(request));
+}
+
+void Keeper::serve(Seconds now, Slot slot, Shelf& shelf, const Request& request) {
+    const auto held = shelf.records.find(request.key);
+    Record record;
+    if (held != shelf.records.end()) record = held->second;
+    record.key = request.key;
+    const auto reply = [&](Reply what) {
+        host_->reply(request.from, request.no, what, table_.number, &record);
+    };
+    // Danger: on fewer disks than was told, one loss more would make it a promise that is not kept.
+    const bool few = shelf.seats.copies.size() < table_.least;
+    if (few && request.what != Request::look) return reply(Reply::not_now);
+    const auto own = std::find_if(record.tries.begin(), record.tries.end(),
+                                  [&](const Try& each) { return each.same(request.its.by, request.its.no); });
+    switch (request.what) {
+        case Request::look:
+            return confirm(slot, shelf, request, Reply::seen);
+        case Request::keep:
+            if (record.answered && record.answer == request.bytes)
+                return confirm(slot, shelf, request, Reply::kept);
+            record.answered = true, record.answer = request.bytes;
+            return write(now, slot, shelf, std::move(record), &request, Reply::kept);
+        case Request::settle: {
+            const Fate fate = request.its.fate;
+            // What ran stays so, whatever comes late; and what was never written down and never ran is
+            // nothing.
+            if (record.answered || (own == record.tries.end() && fate == Fate::not_run) ||
+                (own != record.tries.end() && (own->fate == fate || own->fate == Fate::not_run) &&
+                 fate != Fate::answered))
+                return reply(Reply::kept);
+            if (own == record.tries.end())
+                record.tries.push_back(request.its), record.tries.back().sent = now;
+            else
+                own->fate = fate;
+            if (fate == Fate::answered) record.answered = true, record.answer = request.bytes;
+            return write(now, slot, shelf, std::move(record), &request, Reply::kept);
+        }
+        case Request::claim:
+            break;
+    }
+    if (record.answered) return reply(Reply::answered);
+    if (held == shelf.records.end() && now < shelf.blind_until) return reply(Reply::blind);
+    if (own != record.tries.end()) {
+        // Danger: a claim that comes twice, the second time after it was settled, would look as if it were
+        // out.
+        if (own->fate != Fate::out) return reply(Reply::not_now);
+        return confirm(slot, shelf, request, Reply::granted);
+    }
+    bool out = false, others = false;
+    for (const Try& each : record.tries) {
+        const bool another = each.by != request.its.by && each.fate != Fate::not_run;
+        others |= another;
+        out |= another && each.fate == Fate::out;
+    }
+    if (others && request.knows != record.version)
+        return confirm(slot, shelf, request, out ? Reply::running : Reply::uncertain);
+    // Who asks knows of all these, and is bound by them. They may still be running, or may yet.
+    for (Try& each : record.tries)
+        if (each.by != request.its.by && each.fate == Fate::out) each.fate = Fate::may_have_run;
+    if (record.tries.size() >= kTriesMost)
+        std::erase_if(record.tries, [](const Try& each) { return each.fate == Fate::not_run; });
+    if (record.tries.size() >= kTriesMost) return reply(Reply::uncertain);
+    record.tries.push_back(request.its);
+    write(now, slot, shelf, std::move(record), &request, Reply::granted);
+}
+void Keeper::serve_queued(Seconds now, Slot slot, const Key& key) {
+    while (true) {
+        const auto shelf = shelves_.find(slot);
+        if (shelf == shelves_.end() || shelf->second.busy.contains(key)) return;
+        const auto queue = shelf->second.queued.find(key);
+        if (queue == shelf->second.queued.end()) return;
+        const Request next = queue->second.front();
+        queue->second.pop_front();
+        if (queue->second.empty()) shelf->second.queued.erase(queue);
+        if (shelf->second.open)
+            serve(now, slot, shelf->second, next);
+        else
+            host_->reply(next.from, next.no, Reply::not_now, table_.number, nullptr);
+    }
+}
+
+void Keeper::put(Slot slot, Shelf& shelf, const Record& record) {
+    last_store_.value += 1;
+    host_->store(last_store_, slot, record);
+    shelf.records.insert_or_assign(record.key, record);
+}
+void Keeper::write(Seconds now, Slot slot, Shelf& shelf, Record record, const Request* asker, Reply reply) {
+    record.version = {shelf.seats.since, ++last_step_};
+    record.drop_at = now + terms_.keep;
+    put(slot, shelf, record);
+    Op op;
+    op.slot = slot, op.key = record.key, op.reply = reply;
+    if (asker) op.asker = {asker->from, asker->no};
+    begin(now, slot, shelf, std::move(op));
+}
+// Danger: a home that was deposed, and has not heard of it, would tell what was so before. The copies are
+// asked.
+void Keeper::confirm(Slot slot, Shelf& shelf, const Request& asker, Reply reply) {
+    Op op;
+    op.slot = slot, op.key = asker.key, op.reply = reply;
+    op.asker = {asker.from, asker.no};
+    begin(now_, slot, shelf, std::move(op));
+}
+Keeper::OpNo Keeper::begin(Seconds now, Slot slot, Shelf& shelf, Op op) {
+    const OpNo no = ++last_op_;
+    if (!op.repairs) {
+        op.stores = last_store_;  // the number of the table that this stands on, too
+        shelf.busy[op.key] = no;
+        // Who is not brought up yet is sent it behind the rest.
+        for (auto& [name, sync] : shelf.syncs)
+            if (sync.counts || sync.synced)
+                op.waits[name] = now;
+            else
+                sync.to_send.push_back(op.key);
+    }
+    Op& begun = ops_.emplace(no, std::move(op)).first->second;
+    send(now, no, begun);
+    if (begun.waits.empty() && begun.stores <= stored_) settle_op(now, no);
+    (void)slot;
+    return no;
+}
+void Keeper::send(Seconds now, OpNo no, Op& op) {
+    const Shelf& shelf = shelves_.at(op.slot);
+    const auto record = shelf.records.find(op.key);
+    op.sent = now;
+    for (const auto& [name, since] : op.waits) {
+        const CopyNo copy{++last_copy_};
+        sent_[copy] = {no, name, now, false, op.slot};
+        host_->copy(name, op.slot, shelf.seats.since, copy,
+                    record == shelf.records.end() ? nullptr : &record->second);
+    }
+    if (!op.waits.empty()) wake_at(now + terms_.again);
+}
+void Keeper::settle_op(Seconds now, OpNo no) {
+    const auto it = ops_.find(no);
+    if (it == ops_.end() || !it->second.waits.empty() || it->second.stores > stored_) return;
+    const Op op = std::move(it->second);
+    ops_.erase(it);
+    Shelf& shelf = shelves_.at(op.slot);
+    if (op.repairs) {
+        for (auto& [name, sync] : shelf.syncs)
+            if (sync.out.erase(no) > 0) return bring_up(now, op.slot, shelf, name);
+        return;
+    }
+    shelf.busy.erase(op.key);
+    if (op.asker) {
+        const auto record = shelf.records.find(op.key);
+        host_->reply(op.asker->first, op.asker->second, op.reply, table_.number,
+                     record == shelf.records.end() ? nullptr : &record->second);
+    }
+    serve_queued(now, op.slot, op.key);
+}
+
+// --- Bringing copies up
+void Keeper::compare(Seconds now, Slot slot, Shelf& shelf, const Name& with) {
+    Sync& sync = shelf.syncs[with];
+    sync.compares = CopyNo{++last_copy_}, sync.asked = now;
+    sent_[sync.compares] = {0, with, now, true, slot};
+    host_->compare(with, slot, shelf.seats.since, sync.compares, digests(shelf));
+    wake_at(now + terms_.again);
+}
+void Keeper::differs_told(Seconds now, const Name& from, CopyNo no, const std::vector<std::size_t>& ranges,
+                          const std::vector<Stamp>& stamps) {
+    now_ = now;
+    const auto sent = sent_.find(no);
+    if (sent == sent_.end() || !sent->second.compares || sent->second.to != from) return;
+    const Slot slot = sent->second.slot;
+    sent_.erase(sent);
+    const auto it = shelves_.find(slot);
+    if (it == shelves_.end() || !home(it->second)) return;
+    Shelf& shelf = it->second;
+    const auto found = shelf.syncs.find(from);
+    if (found == shelf.syncs.end() || found->second.compares != no) return;
+    found->second.compares = {};
+    std::map<Key, const Stamp*> theirs;
+    for (const Stamp& each : stamps) theirs[each.key] = &each;
+    const std::set<std::size_t> differ(ranges.begin(), ranges.end());
+    std::vector<Key> lacks;
+    for (const auto& [key, record] : shelf.records) {
+        if (!differ.contains(range_of(key))) continue;
+        const auto at = theirs.find(key);
+        if (at == theirs.end() || at->second->version < record.version) lacks.push_back(key);
+    }
+    bool again = false;
+    for (const Stamp& each : stamps) {
+        const auto own = shelf.records.find(each.key);
+        const bool absent = own == shelf.records.end();
+        if (absent ? each.going : each.version <= own->second.version) continue;
+        // Danger: a write that an earlier home never acknowledged, and that this one does not have, would
+        // come back with a later home. What this one has is written over it.
+        if (shelf.busy.contains(each.key)) {
+            again = true;
+            continue;
+        }
+        Record record;
+        if (!absent) record = own->second;
+        record.key = each.key;
+        lacks.push_back(each.key);
+        write(now, slot, shelf, std::move(record), nullptr, Reply::kept);
+    }
+    Sync& sync = shelf.syncs.at(from);
+    for (const Key& key : lacks) sync.to_send.push_back(key);
+    if (again) return compare(now, slot, shelf, from);
+    bring_up(now, slot, shelf, from);
+}
+void Keeper::bring_up(Seconds now, Slot slot, Shelf& shelf, const Name& whom) {
+    Sync& sync = shelf.syncs.at(whom);
+    const bool paced = !shelf.seats.holds(whom);
+    while (!sync.to_send.empty() && sync.out.size() < terms_.repair_out) {
+        if (paced && allowance_ <= 0) {
+            wake_at(now + terms_.again / 10);
+            return;
+        }
+        const Key key = sync.to_send.front();
+        sync.to_send.pop_front();
+        const auto record = shelf.records.find(key);
+        if (record == shelf.records.end()) continue;
+        if (paced) allowance_ -= static_cast<double>(size_of(record->second));
+        Op op;
+        op.slot = slot, op.key = key, op.repairs = true;
+        op.waits[whom] = now;
+        sync.out.insert(last_op_ + 1);
+        begin(now, slot, shelf, std::move(op));
+    }
+    if (!sync.to_send.empty() || !sync.out.empty() || sync.compares.value > 0) return;
+    sync.synced = true;
+    look_at_syncs(now, slot, shelf);
+}
+void Keeper::look_at_syncs(Seconds, Slot, Shelf& shelf) {
+    if (shelf.open) return;
+    for (const auto& [name, sync] : shelf.syncs)
+        if (sync.counts && !sync.synced) return;
+    shelf.open = true;
+}
+
+// --- As a copy
+void Keeper::copy_told(Seconds now, const Name& from, Slot slot, View since, CopyNo no,
+                       const Record* record) {
+    now_ = now;
+    if (slot.value >= table_.slots.size() || since > table_.slots[slot.value].since)
+        return host_->want_table(since);
+    const Seats& seats = table_.slots[slot.value];
+    const auto it = shelves_.find(slot);
+    if (since < seats.since || it == shelves_.end() || seats.copies.empty() || from != seats.home())
+        return host_->refused(from, no, table_.number);
+    Shelf& shelf = it->second;
+    if (shelf.rotten) return;
+    if (record) {
+        const auto held = shelf.records.find(record->key);
+        if (held == shelf.records.end() || held->second.version < record->version) {
+            Record its = *record;
+            for (Try& each : its.tries) each.sent -= kWayMost;
+            // What it had itself from the first word on it is the exacter one, and early enough.
+            if (held != shelf.records.end())
+                for (Try& each : its.tries)
+                    for (const Try& known : held->second.tries)
+                        if (known.same(each.by, each.no)) each.sent = std::max(each.sent, known.sent);
+            put(slot, shelf, its);
+        }
+    }
+    say_after_store({from, no, false, {}, {}});
+}
+void Keeper::compare_told(Seconds now, const Name& from, Slot slot, View since, CopyNo no,
+                          const Digests& theirs) {
+    now_ = now;
+    if (slot.value >= table_.slots.size() || since > table_.slots[slot.value].since)
+        return host_->want_table(since);
+    const Seats& seats = table_.slots[slot.value];
+    const auto it = shelves_.find(slot);
+    if (since < seats.since || it == shelves_.end() || seats.copies.empty() || from != seats.home())
+        return host_->refused(from, no, table_.number);
+    if (it->second.rotten) return;
+    Barrier barrier{from, no, true, {}, {}};
+    const Digests own = digests(it->second);
+    for (std::size_t i = 0; i < kRanges; ++i)
+        if (own[i] != theirs[i]) barrier.ranges.push_back(i);
+    for (const auto& [key, record] : it->second.records)
+        if (own[range_of(key)] != theirs[range_of(key)])
+            barrier.stamps.push_back({key, record.version, record.drop_at < now + kGoing});
+    say_after_store(std::move(barrier));
+}
+// Danger: what is not on the disk yet would be counted as held. All is said only behind what was stored
+// before.
+void Keeper::say_after_store(Barrier barrier) {
+    barriers_.emplace(last_store_, std::move(barrier));
+    release();
+}
+void Keeper::release() {
+    while (!barriers_.empty() && barriers_.begin()->first <= stored_) {
+        const Barrier said = std::move(barriers_.begin()->second);
+        barriers_.erase(barriers_.begin());
+        if (said.differs)
+            host_->differs(said.to, said.no, said.ranges, said.stamps);
+        else
+            host_->copied(said.to, said.no);
+    }
+}
+Digests Keeper::digests(const Shelf& shelf) const {
+    Digests all{};
+    for (const auto& [key, record] : shelf.records) {
+        const std::array<std::uint64_t, 4> parts{key.value[0], key.value[1], record.version.view.value,
+                                                 record.version.step};
+        all[range_of(key)] ^= XXH3_64bits(parts.data(), sizeof parts);
+    }
+    return all;
+}
+
+// --- What comes back
+void Keeper::copied(Seconds now, const Name& from, CopyNo no) {
+    now_ = now;
+    const auto sent = sent_.find(no);
+    if (sent == sent_.end() || sent->second.to != from || sent->second.compares) return;
+    const Sent its = sent->second;
+    sent_.erase(sent);
+    const auto op = ops_.find(its.op);
+    if (op == ops_.end() || now > its.at + kWayMost) return;
+    op->second.waits.erase(from);
+    settle_op(now, its.op);
+}
+void Keeper::refused(Seconds now, const Name& from, CopyNo no, View number) {
+    now_ = now;
+    const auto sent = sent_.find(no);
+    if (sent == sent_.end() || sent->second.to != from) return;
+    if (number > table_.number) host_->want_table(number);
+}
+void Keeper::stored(Seconds now, StoreNo up_to) {
+    now_ = now;
+    stored_ = std::max(stored_, up_to);
+    release();
+    std::vector<OpNo> free;
+    for (const auto& [no, op] : ops_)
+        if (op.waits.empty() && op.stores <= stored_) free.push_back(no);
+    for (const OpNo no : free) settle_op(now, no);
+}
+void Keeper::rotted(Seconds now, Slot slot) {
+    now_ = now;
+    const auto it = shelves_.find(slot);
+    if (it == shelves_.end() || it->second.rotten) return;
+    it->second.rotten = true;
+    drop_ops(slot, it->second);
+    host_->note(fmt::format("slot {} was altered on the disk: it is fetched again", slot.value));
+}
+
+// --- Time
+void Keeper::tick(Seconds now) {
+    now_ = now;
+    due_ = kNever;
+    const double most = kAllowanceSpan * terms_.repair_rate;
+    allowance_ = std::min(most, allowance_ + (now - allowed_at_) * terms_.repair_rate);
+    allowed_at_ = now;
+    std::erase_if(sent_, [&](const auto& each) { return now > each.second.at + kWayMost; });
+    std::vector<OpNo> all;
+    for (const auto& [no, op] : ops_)
+        if (!op.waits.empty() && now >= op.sent + terms_.again) all.push_back(no);
+    for (const OpNo no : all)
+        if (const auto op = ops_.find(no); op != ops_.end()) send(now, no, op->second);
+    for (auto& [slot, shelf] : shelves_) {
+        if (!home(shelf)) continue;
+        if (shelf.open && now >= shelf.compare_at) {
+            shelf.compare_at = now + terms_.compare;
+            for (auto& [name, sync] : shelf.syncs)
+                if (sync.synced && sync.compares.value == 0) compare(now, slot, shelf, name);
+        }
+        std::vector<Name> names;
+        for (const auto& [name, sync] : shelf.syncs) names.push_back(name);
+        for (const Name& name : names) {
+            Sync& sync = shelf.syncs[name];
+            if (sync.compares.value > 0 && now >= sync.asked + terms_.again)
+                compare(now, slot, shelf, name);
+            else if (!sync.synced && sync.compares.value == 0)
+                bring_up(now, slot, shelf, name);
+        }
+        // Danger: one that joins and falls silent would hold up all writes. It is none of the copies yet.
+        for (auto& [no, op] : ops_) {
+            if (op.slot != slot || op.repairs) continue;
+            for (auto wait = op.waits.begin(); wait != op.waits.end();) {
+                if (shelf.syncs[wait->first].counts || now < wait->second + terms_.lag) {
+                    ++wait;
+                    continue;
+                }
+                Sync& sync = shelf.syncs[wait->first];
+                sync.synced = false;
+                sync.to_send.push_back(op.key);
+                wait = op.waits.erase(wait);
+            }
+        }
+    }
+    std::vector<OpNo> free;
+    for (const auto& [no, op] : ops_)
+        if (op.waits.empty() && op.stores <= stored_) free.push_back(no);
+    for (const OpNo no : free) settle_op(now, no);
+    expire(now);
+    bool waits = !ops_.empty();
+    for (const auto& [slot, shelf] : shelves_)
+        for (const auto& [name, sync] : shelf.syncs) waits |= !sync.synced || sync.compares.value > 0;
+    wake_at(waits ? now + terms_.again / 3 : now + kSweepEvery);
+}
+void Keeper::expire(Seconds now) {
+    if (now < swept_ + kSweepEvery) return;
+    swept_ = now;
+    std::vector<Key> dropped;
+    for (auto& [slot, shelf] : shelves_)
+        std::erase_if(shelf.records, [&](const auto& each) {
+            if (now < each.second.drop_at || shelf.busy.contains(each.first)) return false;
+            dropped.push_back(each.first);
+            return true;
+        });
+    if (dropped.empty()) return;
+    last_store_.value += 1;
+    host_->store_drop(last_store_, dropped);
+}
+
+// --- How it stands
+Report Keeper::report(Seconds now) {
+    Report report;
+    report.disk = disk_, report.number = table_.number;
+    for (auto& [slot, shelf] : shelves_) {
+        report.records += shelf.records.size();
+        for (const auto& [key, record] : shelf.records) report.bytes += size_of(record);
+        if (shelf.rotten) report.rotten.push_back(slot);
+        if (!home(shelf)) continue;
+        ++report.homes, report.open += shelf.open;
+        if (shelf.seats.blind > View{} && now >= shelf.blind_until) report.sighted.push_back(slot);
+        for (auto& [name, sync] : shelf.syncs) {
+            if (sync.synced && shelf.seats.joins(name)) {
+                report.synced.emplace_back(slot, name);
+                sync.counts = true;
+            }
+            report.to_send += sync.to_send.size() + sync.out.size();
+        }
+    }
+    std::set<std::pair<Slot, Name>> lagging;
+    for (const auto& [no, op] : ops_)
+        for (const auto& [name, since] : op.waits)
+            if (now > since + terms_.lag) lagging.emplace(op.slot, name);
+    for (const auto& [slot, shelf] : shelves_)
+        if (home(shelf) && !shelf.open)
+            for (const auto& [name, sync] : shelf.syncs)
+                if (!sync.synced && sync.compares.value > 0 &&
+                    shelf.compare_at - terms_.compare + terms_.lag < now)
+                    lagging.emplace(slot, name);
+    report.lagging.assign(lagging.begin(), lagging.end());
+    return report;
+}
+const Record* Keeper::find(const Key& key) const {
+    if (table_.slots.empty()) return nullptr;
+    const auto shelf = shelves_.find(table_.slot_of(key));
+    if (shelf == shelves_.end()) return nullptr;
+    const auto record = shelf->second.records.find(key);
+    return record == shelf->second.records.end() ? nullptr : &record->second;
+}
+std::size_t Keeper::records() const {
+    std::size_t count = 0;
+    for (const auto& [slot, shelf] : shelves_) count += shelf.records.size();
+    return count;
+}
+bool Keeper::opened(Slot slot) const {
+    const auto it = shelves_.find(slot);
+    return it != shelves_.end() && it->second.open && home(it->second);
+}
+bool Keeper::is_home(Slot slot) const {
+    const auto it = shelves_.find(slot);
+    return it != shelves_.end() && home(it->second);
+}
+bool Keeper::has(Slot slot) const {
+    const auto it = shelves_.find(slot);
+    return it != shelves_.end() && !it->second.rotten;
+}
+std::string Keeper::state() const {
+    std::string text = fmt::format("{}.{}.{}.{};", table_.number.value, seen_.value,
+                                   last_store_.value - stored_.value, starts_);
+    for (const auto& [slot, shelf] : shelves_) {
+        text += fmt::format("s{}.{}{}{}", slot.value, shelf.seats.since.value, shelf.open ? "o" : "c",
+                            shelf.rotten ? "r" : "");
+        for (const auto& [key, record] : shelf.records) {
+            text += fmt::format("k{}@{}.{}{}", key.value[0], record.version.view.value, record.version.step,
+                                record.answered ? "a" : "");
+            for (const Try& each : record.tries)
+                text += fmt::format("t{}.{}.{}.{}", each.by.name.value, each.by.inv, each.no,
+                                    static_cast<int>(each.fate));
+        }
+        for (const auto& [name, sync] : shelf.syncs)
+            text += fmt::format("y{}{}{}.{}.{}", name.value, sync.synced, sync.compares.value > 0,
+                                sync.to_send.size(), sync.out.size());
+        for (const auto& [key, all] : shelf.queued) text += fmt::format("q{}", all.size());
+    }
+    for (const auto& [no, op] : ops_) {
+        text += fmt::format("o{}{}{}", op.key.value[0], op.repairs, static_cast<int>(op.reply));
+        for (const auto& [name, since] : op.waits) text += name.value;
+        if (op.asker) text += fmt::format("a{}.{}", op.asker->first.value, op.asker->second.value);
+    }
+    text += fmt::format("b{}", barriers_.size());
+    return text;
+}
+
+}  // namespace tideline::holdings
--- a/tools/council/world.hpp
+++ b/tools/council/world.hpp
@@ -76,6 +76,7 @@
     double now() const { return now_; }
     int planners() const { return terms_.planners; }
     int nodes() const { return terms_.planners + terms_.members; }
+    int disks() const { return terms_.planners; }
     bool up(int node) const;
     const planner::Office* office(int planner) const;
     bool writes(int planner) const;  // something is to be stored
--- /dev/null
+++ b/tools/holders/world.cpp
@@ -0,0 +1,474 @@
+#include "holders/world.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace tideline::simulated {
+
+using namespace holdings;
+
+// A member: its cores, its disk, what its clients asked.
+class Holders::Node : public Post, public StewardHost {
+  public:
+    struct Inv {
+        Covered what;
+        std::set<Claimant> knows;  // whose dispatches the decision module was told of
+        int dispatches = 0;
+    };
+    struct Pending {  // a write that is not on the disk yet
+        StoreNo no;
+        Slot slot;
+        std::optional<Record> record;
+        std::vector<Key> drops;
+        View number;
+        bool clears = false;  // all of the slot
+    };
+    Node(Holders& world, int at)
+        : world_(&world), at_(at), disk_{static_cast<std::uint64_t>(at + 1) * 1000 + 1} {
+        boot();
+    }
+    Node(const Node& other, Holders& world)
+        : world_(&world),
+          at_(other.at_),
+          disk_(other.disk_),
+          starts_(other.starts_),
+          number_(other.number_),
+          kept_(other.kept_),
+          rotten_(other.rotten_),
+          pending_(other.pending_),
+          last_(other.last_),
+          invs_(other.invs_),
+          last_inv_(other.last_inv_),
+          believes_(other.believes_),
+          wants_(other.wants_),
+          life_(other.life_) {
+        if (other.keeper) keeper = std::make_unique<Keeper>(*other.keeper, static_cast<KeeperHost&>(*this));
+        if (other.claims) claims = std::make_unique<Claims>(*other.claims, static_cast<ClaimsHost&>(*this));
+        if (other.steward)
+            steward = std::make_unique<Steward>(*other.steward, static_cast<StewardHost&>(*this));
+    }
+    Name name() const { return name_of(at_); }
+    bool up() const { return keeper != nullptr; }
+    void boot() {
+        ++starts_, ++life_;
+        Found found;
+        found.starts = starts_, found.number = number_;
+        found.rotten = rotten_;
+        for (const auto& [key, each] : kept_) {
+            if (rotten_.contains(each.first)) continue;
+            found.records.push_back(each);
+            found.records.back().second.drop_at = world_->terms_.keeper.keep;
+        }
+        claims = std::make_unique<Claims>(*this, world_->terms_.claims, name(), Life{life_}, world_->now_);
+        steward = std::make_unique<Steward>(*this, world_->terms_.steward);
+        keeper = std::make_unique<Keeper>(*this, world_->terms_.keeper, name(), disk_, std::move(found),
+                                          world_->now_);
+    }
+    void crash() {
+        pending_.clear();
+        for (const auto& [inv, its] : invs_) world_->end(at_, inv, Ended::lost);
+        invs_.clear();
+        keeper.reset(), claims.reset(), steward.reset();
+        believes_ = false;
+    }
+    void wipe() {
+        disk_.value += 1;
+        starts_ = 0, number_ = {};
+        kept_.clear(), rotten_.clear();
+    }
+    void rot(Slot slot) { rotten_.insert(slot); }
+    void disk_done() {
+        for (const Pending& each : std::exchange(pending_, {})) {
+            if (each.record) kept_[each.record->key] = {each.slot, *each.record};
+            for (const Key& key : each.drops) kept_.erase(key);
+            if (each.clears) {
+                rotten_.erase(each.slot);
+                std::erase_if(kept_, [&](const auto& kept) { return kept.second.first == each.slot; });
+            }
+            number_ = std::max(number_, each.number);
+            last_ = each.no;
+        }
+        keeper->stored(world_->now_, last_);
+    }
+    bool writes() const { return !pending_.empty(); }
+
+    void invoke(std::uint64_t what, bool repeatable, Seconds ends) {
+        const InvId inv{++last_inv_};
+        Inv& its = invs_[inv];
+        its.what = {inv, key_of(what), repeatable, ends};
+        dispatch(inv, its);
+    }
+    // Stands in for the decision module and its pods: one dispatch, where it may.
+    void dispatch(InvId inv, Inv& its) {
+        const DispatchNo no{its.dispatches++};
+        if (!world_->terms_.copied) return go(inv, no);
+        claims->about_to_go(world_->now_, its.what, no, Location{}, Cell{});
+    }
+    void came_back(const Flight& flight, Fate fate) {
+        const auto it = invs_.find(flight.inv);
+        const std::string answer = fate == Fate::answered ? answer_of(flight.key) : "";
+        if (it == invs_.end()) {
+            if (world_->terms_.copied) claims->ended(world_->now_, flight.inv, flight.no, fate, answer);
+            return;
+        }
+        if (world_->terms_.copied) {
+            claims->ended(world_->now_, flight.inv, flight.no, fate, answer);
+            claims->over(world_->now_, flight.inv);
+        }
+        invs_.erase(it);
+        world_->end(at_, flight.inv,
+                    fate == Fate::answered  ? Ended::succeeded
+                    : fate == Fate::not_run ? Ended::throttled
+                                            : Ended::terminated);
+    }
+    static std::string answer_of(const Key& key) { return "answer " + std::to_string(key.value[1]); }
+
+    // KeeperHost
+    void store(StoreNo no, Slot slot, const Record& record) override {
+        pending_.push_back({no, slot, record, {}, {}, false});
+    }
+    void store_drop(StoreNo no, const std::vector<Key>& keys) override {
+        pending_.push_back({no, {}, {}, keys, {}, false});
+    }
+    void store_clear(StoreNo no, Slot slot) override { pending_.push_back({no, slot, {}, {}, {}, true}); }
+    void store_number(StoreNo no, View number) override {
+        pending_.push_back({no, {}, {}, {}, number, false});
+    }
+    void want_table(View least) override {
+        wants_ = std::max(wants_, least);
+        world_->send(at_, world_->members(), "W");
+    }
+    void note(const std::string&) override {}
+    // ClaimsHost
+    void go(InvId inv, DispatchNo no) override {
+        const auto it = invs_.find(inv);
+        if (it == invs_.end())
+            return world_->fail(fmt::format("{} sends what nobody waits for", name().value));
+        const Claimant self{name(), Life{life_}, inv.value};
+        const Key& key = it->second.what.key;
+        // Danger this is about: two sidecars that send the same, the second without knowing of the first.
+        if (world_->terms_.copied)
+            for (const auto& [other, knows] : world_->went_[key])
+                if (other != self && !it->second.knows.contains(other) && !knows.contains(self))
+                    world_->fail(fmt::format("key {}: {} sends beside {} without knowing of it", key.value[1],
+                                             name().value, other.name.value));
+        world_->went_[key][self] = it->second.knows;
+        if (world_->terms_.copied) world_->promised_[key].went = true, ++world_->granted;
+        world_->flights_.push_back({at_, life_, inv, no, key, it->second.what.repeatable});
+    }
+    void cannot(InvId inv, Seconds) override { over(inv, Ended::throttled); }
+    void waits(InvId) override {}
+    void kept(InvId inv, const std::string& answer) override {
+        const auto it = invs_.find(inv);
+        if (it != invs_.end() && answer != answer_of(it->second.what.key))
+            world_->fail(fmt::format("{}: another's answer", name().value));
+        over(inv, Ended::kept);
+    }
+    void enter(InvId inv, const std::vector<Try>& earlier) override {
+        const auto it = invs_.find(inv);
+        if (it == invs_.end()) return;
+        ++world_->entered;
+        for (const Try& each : earlier) it->second.knows.insert(each.by);
+        if (!earlier.empty() && !it->second.what.repeatable)
+            return world_->fail("what may have run is entered again");
+        it->second.dispatches = std::max(it->second.dispatches, static_cast<int>(earlier.size()));
+        if (it->second.dispatches > 6) {
+            claims->over(world_->now_, inv);
+            return over(inv, Ended::terminated);
+        }
+        dispatch(inv, it->second);
+    }
+    void unknown(InvId inv) override { over(inv, Ended::terminated); }
+    void looked(const Key&, const Record*) override {}
+    void alarm(const std::string&) override {}
+    // StewardHost
+    void propose(const Table& table) override { world_->send(at_, world_->members(), "P" + bytes_of(table)); }
+    void ask_reports() override {
+        wire::Holding word;
+        word.mutable_ask_report();
+        for (int i = 0; i < world_->members(); ++i) post(name_of(i), word);
+    }
+    void raise(const std::string&, const std::string&) override {}
+    void clear(const std::string&) override {}
+    // Post
+    void post(const Name& to, const wire::Holding& word) override {
+        std::string bytes = "H";
+        bytes += word.SerializeAsString();
+        world_->send(at_, world_->node_of(to), std::move(bytes));
+    }
+    Seconds time() const override { return world_->now_; }
+
+    void hear(int from, const std::string& bytes) {
+        const Seconds now = world_->now_;
+        if (bytes[0] == 'T') {
+            Table table;
+            if (!table_from(bytes.substr(1), table)) return world_->fail("a table can't be read");
+            keeper->table_told(now, table);
+            claims->table_told(now, table);
+            if (steward->holds()) steward->table_is(now, table);
+            return;
+        }
+        if (bytes[0] == 'R') {
+            steward->proposal_failed(now);
+            return want_table({});
+        }
+        wire::Holding word;
+        if (!word.ParseFromString(bytes.substr(1))) return world_->fail("a word can't be read");
+        if (word.has_ask_report()) {
+            wire::Holding said;
+            put(keeper->report(now), claims->silent(now), *said.mutable_report());
+            said.mutable_report()->set_no(life_);
+            return post(name_of(from), said);
+        }
+        if (word.has_report()) {
+            std::set<Name> silent;
+            const Report report = report_from(word.report(), silent);
+            steward->reported(now, name_of(from), Life{word.report().no()}, report, silent);
+            return;
+        }
+        holdings::hear(now, name_of(from), word, *keeper, *claims);
+    }
+    void believe(bool is) {
+        believes_ = is;
+        if (is && !steward->holds()) {
+            steward->held(world_->now_, keeper->table());
+            want_table({});
+        }
+        if (!is) steward->lost();
+    }
+    std::string state() const {
+        std::string text = up() ? keeper->state() + claims->state() + steward->state() : "down";
+        text += fmt::format("w{}d{}k", pending_.size(), disk_.value);
+        for (const auto& [key, each] : kept_)
+            text += fmt::format("{}.{}.{}", key.value[0], each.second.version.view.value,
+                                each.second.version.step);
+        for (const auto& [inv, its] : invs_)
+            text += fmt::format("i{}.{}.{}", inv.value, its.dispatches, its.knows.size());
+        return text;
+    }
+    std::string about(const Key& key, const Table& table) const {
+        const Seats& seats = table.seats(key);
+        const auto disk = table.disks.find(name());
+        return fmt::format(" {}{}{}{}{}{}", name().value, seats.holds(name()) ? " copy" : "",
+                           disk != table.disks.end() && disk->second == disk_ ? "" : " other disk",
+                           up() ? "" : " down", kept_.contains(key) ? " has it" : "",
+                           up() && keeper->find(key) ? " holds it" : "");
+    }
+    bool on_disk(const Key& key, const Table& table) const {
+        const auto disk = table.disks.find(name());
+        const auto kept = kept_.find(key);
+        return disk != table.disks.end() && disk->second == disk_ && kept != kept_.end() &&
+               !rotten_.contains(kept->second.first);
+    }
+    std::uint64_t life() const { return life_; }
+    std::size_t open() const { return invs_.size(); }
+
+    std::unique_ptr<Keeper> keeper;
+    std::unique_ptr<Claims> claims;
+    std::unique_ptr<Steward> steward;
+
+  private:
+    void over(InvId inv, Ended how) {
+        if (invs_.erase(inv) > 0) world_->end(at_, inv, how);
+    }
+    Holders* world_;
+    const int at_;
+    Disk disk_;
+    std::uint64_t starts_ = 0;
+    View number_;
+    std::map<Key, std::pair<Slot, Record>> kept_;
+    std::set<Slot> rotten_;
+    std::deque<Pending> pending_;
+    StoreNo last_;
+    std::map<InvId, Inv> invs_;
+    std::uint64_t last_inv_ = 0;
+    bool believes_ = false;
+    View wants_;
+    std::uint64_t life_ = 0;
+};
+
+Holders::Holders(const HoldersTerms& terms) : terms_(terms) {
+    for (int i = 0; i < terms.members; ++i) nodes_.push_back(std::make_unique<Node>(*this, i));
+}
+Holders::~Holders() = default;
+
+void Holders::fail(const std::string& what) {
+    if (fault_.empty()) fault_ = what;
+}
+void Holders::send(int from, int to, std::string bytes) {
+    if (to >= 0) sent_.push_back({from, to, std::move(bytes)});
+}
+void Holders::end(int, InvId, Ended how) { ++ended[how]; }
+int Holders::node_of(const Name& name) const {
+    for (int i = 0; i < terms_.members; ++i)
+        if (name_of(i) == name) return i;
+    return -1;
+}
+
+void Holders::deliver(const HolderWord& word, int to) {
+    if (to < terms_.members) {
+        if (nodes_[static_cast<std::size_t>(to)]->up())
+            nodes_[static_cast<std::size_t>(to)]->hear(word.from, word.bytes);
+        return;
+    }
+    if (word.bytes[0] == 'P') {
+        Table table;
+        if (!table_from(word.bytes.substr(1), table)) return fail("a proposal can't be read");
+        if (table.number.value != agreed_.number.value + 1) return send(word.to, word.from, "R");
+        for (std::uint32_t i = 0; i < table.slots.size(); ++i)
+            if (table.slots[i].blind > View{}) return fail(fmt::format("slot {} is given up for lost", i));
+        agreed_ = table;
+        look_for_all();
+        for (int i = 0; i < terms_.members; ++i) send(word.to, i, "T" + bytes_of(agreed_));
+        return;
+    }
+    if (agreed_.number > View{}) send(word.to, word.from, "T" + bytes_of(agreed_));
+}
+void Holders::disk_done(int node) {
+    if (up(node)) nodes_[static_cast<std::size_t>(node)]->disk_done();
+}
+void Holders::tick(int node) {
+    Node& its = *nodes_[static_cast<std::size_t>(node)];
+    if (!its.up()) return;
+    its.keeper->tick(now_);
+    its.claims->tick(now_);
+    its.steward->tick(now_);
+}
+void Holders::crash(int node) {
+    if (up(node)) nodes_[static_cast<std::size_t>(node)]->crash();
+}
+void Holders::start(int node) {
+    if (!up(node)) nodes_[static_cast<std::size_t>(node)]->boot();
+}
+void Holders::wipe(int node) { nodes_[static_cast<std::size_t>(node)]->wipe(); }
+void Holders::rot(int node, Slot slot) { nodes_[static_cast<std::size_t>(node)]->rot(slot); }
+void Holders::steward(int node, bool is) {
+    if (up(node)) nodes_[static_cast<std::size_t>(node)]->believe(is);
+}
+void Holders::hears_of(int node, int of, bool gone) {
+    if (!up(node)) return;
+    Node& its = *nodes_[static_cast<std::size_t>(node)];
+    const Life life{nodes_[static_cast<std::size_t>(of)]->life()};
+    its.claims->member_is(now_, name_of(of), life, gone);
+    its.steward->member_is(now_, name_of(of), life, Place{"place " + std::to_string(of % terms_.places)},
+                           !gone);
+}
+void Holders::poll(int node) {
+    if (up(node)) nodes_[static_cast<std::size_t>(node)]->want_table({});
+}
+void Holders::give_up(int node, int of) {
+    if (up(node)) nodes_[static_cast<std::size_t>(node)]->steward->give_up(now_, name_of(of));
+}
+bool Holders::invoke(int node, std::uint64_t what, bool repeatable, Seconds ends) {
+    if (!up(node)) return false;
+    nodes_[static_cast<std::size_t>(node)]->invoke(what, repeatable, ends);
+    return true;
+}
+void Holders::fly(std::size_t at) {
+    const Flight flight = flights_[at];
+    flights_.erase(flights_.begin() + static_cast<std::ptrdiff_t>(at));
+    // Pods tell repeats by the fingerprint; of what has none each dispatch is an effect.
+    std::uint64_t& count = ran_[flight.key];
+    if (!flight.repeatable || count == 0) ++count, ++effects;
+    if (count > 1) {
+        ++twice;
+        if (terms_.copied) fail(fmt::format("key {} took effect twice", flight.key.value[1]));
+    }
+    Node& node = *nodes_[static_cast<std::size_t>(flight.node)];
+    if (node.up() && node.life() == flight.start) node.came_back(flight, Fate::answered);
+}
+void Holders::lose(std::size_t at, bool ran) {
+    const Flight flight = flights_[at];
+    if (ran) {
+        std::uint64_t& count = ran_[flight.key];
+        if (!flight.repeatable || count == 0) ++count, ++effects;
+        if (count > 1) {
+            ++twice;
+            if (terms_.copied) fail(fmt::format("key {} took effect twice", flight.key.value[1]));
+        }
+    }
+    flights_.erase(flights_.begin() + static_cast<std::ptrdiff_t>(at));
+    // What is known never to have run bars nobody.
+    if (!ran) went_[flight.key].erase(Claimant{name_of(flight.node), Life{flight.start}, flight.inv.value});
+    Node& node = *nodes_[static_cast<std::size_t>(flight.node)];
+    if (node.up() && node.life() == flight.start)
+        node.came_back(flight, ran ? Fate::may_have_run : Fate::not_run);
+}
+
+// Of what was promised some copy that the planners count on has it on its disk, at any time.
+void Holders::look_for_all() {
+    for (const auto& [key, promise] : promised_) {
+        const Seats& seats = agreed_.seats(key);
+        const bool has = std::any_of(seats.copies.begin(), seats.copies.end(), [&](const Name& each) {
+            return nodes_[static_cast<std::size_t>(node_of(each))]->on_disk(key, agreed_);
+        });
+        if (has) continue;
+        std::string where;
+        for (const auto& node : nodes_) where += node->about(key, agreed_);
+        return fail(fmt::format("key {} is on no disk that counts:{}", key.value[1], where));
+    }
+}
+bool Holders::up(int node) const {
+    return node < terms_.members && nodes_[static_cast<std::size_t>(node)]->up();
+}
+bool Holders::writes(int node) const { return up(node) && nodes_[static_cast<std::size_t>(node)]->writes(); }
+Seconds Holders::due(int node) const {
+    if (node >= terms_.members) return std::numeric_limits<double>::infinity();
+    const Node& its = *nodes_[static_cast<std::size_t>(node)];
+    if (!its.up()) return std::numeric_limits<double>::infinity();
+    return std::min({its.keeper->due(), its.claims->due(), its.steward->due()});
+}
+const Keeper* Holders::keeper(int node) const { return nodes_[static_cast<std::size_t>(node)]->keeper.get(); }
+const Claims* Holders::claims(int node) const { return nodes_[static_cast<std::size_t>(node)]->claims.get(); }
+const Steward* Holders::steward_of(int node) const {
+    return nodes_[static_cast<std::size_t>(node)]->steward.get();
+}
+bool Holders::whole() const {
+    if (agreed_.slots.empty()) return false;
+    for (std::uint32_t i = 0; i < agreed_.slots.size(); ++i) {
+        const Seats& seats = agreed_.slots[i];
+        if (seats.copies.size() < agreed_.wanted || !seats.joining.empty()) return false;
+        std::set<int> places;
+        for (const Name& each : seats.copies) places.insert(node_of(each) % terms_.places);
+        if (places.size() < seats.copies.size()) return false;
+        for (const Name& each : seats.copies) {
+            const Keeper* its = keeper(node_of(each));
+            if (!its || its->table().number != agreed_.number || !its->has(Slot{i})) return false;
+        }
+        if (!keeper(node_of(seats.home()))->opened(Slot{i})) return false;
+    }
+    return true;
+}
+std::vector<std::string> Holders::forgotten() const {
+    std::vector<std::string> all;
+    for (const auto& [key, promise] : promised_) {
+        if (agreed_.slots.empty()) continue;
+        for (const Name& each : agreed_.seats(key).copies) {
+            const Keeper* its = keeper(node_of(each));
+            const Record* record = its ? its->find(key) : nullptr;
+            if (!record || (promise.went && record->tries.empty() && !record->answered))
+                all.push_back(fmt::format("key {} at {}", key.value[1], each.value));
+        }
+    }
+    return all;
+}
+std::size_t Holders::open() const {
+    std::size_t count = 0;
+    for (const auto& node : nodes_) count += node->open();
+    return count;
+}
+std::string Holders::state() const {
+    std::string text = fmt::format("{};", agreed_.number.value);
+    for (const auto& node : nodes_) text += node->state();
+    for (const Flight& each : flights_)
+        text += fmt::format("f{}.{}.{}.{}", each.node, each.start, each.inv.value, each.no.value);
+    for (const auto& [key, count] : ran_) text += fmt::format("r{}.{}", key.value[1], count);
+    for (const auto& [key, all] : went_)
+        for (const auto& [each, knows] : all)
+            text += fmt::format("g{}{}.{}.{}", each.name.value, each.life.value, each.inv, knows.size());
+    return text;
+}
+
+}  // namespace tideline::simulated
--- /dev/null
+++ b/tools/holders/world.hpp
@@ -0,0 +1,131 @@
+// Members that hold for each other, around the very cores that ship (keeper, claims, steward) and their
+// codec, with disks that lose what was not yet stored, pods that write down each effect, clients that ask
+// again elsewhere. The planners are one register here that words reach late or never: how they agree is
+// searched in the worlds of leases. No sockets, no clock. A world can be copied, so that every order may be
+// tried.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "holdings/codec.hpp"
+#include "holdings/steward.hpp"
+
+namespace tideline::simulated {
+
+using fleet::Name;
+using holdings::Key;
+using holdings::Slot;
+
+struct HoldersTerms {
+    int members = 3, places = 3;
+    holdings::KeeperTerms keeper;
+    holdings::ClaimsTerms claims;
+    holdings::StewardTerms steward;
+    bool copied = true;  // false: nothing is asked before a dispatch, as with copies off
+};
+
+// Nodes count from 0; the register is the last one.
+struct HolderWord {
+    int from = 0, to = 0;
+    std::string bytes;
+    bool operator<(const HolderWord& other) const {
+        return std::tie(from, to, bytes) < std::tie(other.from, other.to, other.bytes);
+    }
+};
+
+// One dispatch that went out, until it has run or is lost.
+struct Flight {
+    int node = 0;
+    std::uint64_t start = 0;  // of the node
+    InvId inv;
+    DispatchNo no;
+    Key key;
+    bool repeatable = false;
+};
+
+// How an invocation ended for its client.
+enum class Ended { open, succeeded, kept, throttled, terminated, lost };
+
+class Holders {
+  public:
+    explicit Holders(const HoldersTerms& terms);
+    Holders(const Holders& other);
+    Holders& operator=(const Holders&) = delete;
+    ~Holders();
+
+    // What can happen. True time is the driver's and never goes back.
+    void time_is(Seconds now) { now_ = now; }
+    void deliver(const HolderWord& word, int to);
+    void disk_done(int node);  // all that was to be stored is
+    void tick(int node);
+    void crash(int node);  // what was not stored is lost
+    void start(int node);
+    void wipe(int node);                         // while it is down: its disk is gone
+    void rot(int node, Slot slot);               // something it holds was altered on its disk
+    void steward(int node, bool is);             // it believes that it holds the lease
+    void hears_of(int node, int of, bool gone);  // its roll
+    void poll(int node);                         // asks for the table, as each does now and then
+    void give_up(int node, int of);
+    // A client's invocation; told by ended_of. False where the node is down.
+    bool invoke(int node, std::uint64_t what, bool repeatable, Seconds ends);
+    void fly(std::size_t at);             // that dispatch reaches its pod and runs
+    void lose(std::size_t at, bool ran);  // no answer comes: it ran, or never did and is known not to have
+
+    // How it stands.
+    Seconds now() const { return now_; }
+    int members() const { return terms_.members; }
+    int nodes() const { return terms_.members + 1; }
+    int disks() const { return terms_.members; }
+    bool up(int node) const;
+    Seconds due(int node) const;
+    bool writes(int node) const;
+    const std::vector<Flight>& flights() const { return flights_; }
+    std::vector<HolderWord> take_sent() { return std::exchange(sent_, {}); }
+    const holdings::Keeper* keeper(int node) const;
+    const holdings::Claims* claims(int node) const;
+    const holdings::Steward* steward_of(int node) const;
+    const holdings::Table& agreed() const { return agreed_; }
+    bool whole() const;  // every slot has all its copies, its home is open, nobody joins
+    const std::string& fault() const { return fault_; }
+    // Keys whose acknowledged record is on none of those that should have it; looked at when all is quiet.
+    std::vector<std::string> forgotten() const;
+    std::size_t open() const;
+    std::string state() const;
+    static Name name_of(int node) { return Name{"n" + std::to_string(node + 1)}; }
+    static Key key_of(std::uint64_t what) { return {{what * 0x9e3779b97f4a7c15ULL, what}}; }
+
+    // What came of it all.
+    std::map<Ended, std::uint64_t> ended;
+    std::uint64_t effects = 0, twice = 0, granted = 0, entered = 0;
+    std::size_t promised() const { return promised_.size(); }
+
+  private:
+    class Node;
+    friend class Node;
+    struct Promise {
+        bool went = false, answered = false;
+    };
+    void fail(const std::string& what);
+    void look_for_all();
+    void send(int from, int to, std::string bytes);
+    void end(int node, InvId inv, Ended how);
+    int node_of(const Name& name) const;
+
+    HoldersTerms terms_;
+    Seconds now_ = 0;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::vector<HolderWord> sent_;
+    holdings::Table agreed_;
+    std::string fault_;
+    std::vector<Flight> flights_;
+    std::map<Key, std::uint64_t> ran_;  // effects by key
+    // Whose dispatches of it went out, and of whose each knew.
+    std::map<Key, std::map<holdings::Claimant, std::set<holdings::Claimant>>> went_;
+    std::map<Key, Promise> promised_;
+};
+
+}  // namespace tideline::simulated
--- /dev/null
+++ b/tools/virtual/holders.cpp
@@ -0,0 +1,311 @@
+#include "virtual/holders.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <mutex>
+
+#include "holders/world.hpp"
+#include "virtual/driver.hpp"
+#include "virtual/seeds.hpp"
+
+namespace tideline::simulated {
+namespace {
+
+constexpr double kLength = 40, kQuiet = 60;           // s: of faults, and after all is healed
+constexpr double kRollEvery = 0.2, kGoneAfter = 1.2;  // s: of the roll that is stood in for
+constexpr double kPollEvery = 3;  // s: about as often each asks the planners for the table
+
+HoldersTerms usual(const HoldersWish& wish) {
+    HoldersTerms terms;
+    terms.members = wish.members, terms.places = std::max(wish.copies, wish.members / 2);
+    terms.copied = wish.copied;
+    terms.keeper.keep = 1000;
+    terms.keeper.compare = 5;
+    terms.steward.slots = 8;
+    terms.steward.copies = terms.steward.least = static_cast<std::size_t>(wish.copies);
+    if (wish.least > 0) terms.steward.least = static_cast<std::size_t>(wish.least);
+    terms.steward.absent = 3, terms.steward.rest = 3, terms.steward.every = 0.3, terms.steward.moves = 4;
+    return terms;
+}
+
+// What of the roll, the lease of the steward and the clients is stood in for.
+class Play : public Driver<Holders> {
+  public:
+    Play(const HoldersWish& wish, std::uint32_t seed)
+        : Driver<Holders>(usual(wish), seed),
+          wish_(wish),
+          members_(wish.members),
+          heard_(static_cast<std::size_t>(members_ * members_), 0) {}
+
+    void begin() {
+        start_ = now();
+        at(start_, [this] { roll(); });
+        at(start_ + 0.1, [this] { lease(); });
+        at(start_ + 6, [this] { traffic(); });
+    }
+    double since() const { return now() - start_; }
+    int drawn_member() { return draw_below(members_); }
+    void end_traffic() { traffic_ends_ = now(); }
+
+    std::uint64_t asked = 0, losses = 0;
+
+  private:
+    double& heard(int by, int of) { return heard_[static_cast<std::size_t>(by * members_ + of)]; }
+    void roll() {
+        for (int i = 0; i < members_; ++i) {
+            if (!world.up(i) || stopped(i)) continue;
+            if (draw(0, 1) < kRollEvery / kPollEvery) world.poll(i);
+            for (int j = 0; j < members_; ++j) {
+                const bool there = i == j || (world.up(j) && !stopped(j) && !is_cut(i, j) && !is_cut(j, i));
+                if (there) heard(i, j) = now();
+                world.hears_of(i, j, now() > heard(i, j) + kGoneAfter);
+            }
+        }
+        flush();
+        if (wish_.verbose && told_ != world.agreed().number) tell_table();
+        at(now() + kRollEvery, [this] { roll(); });
+    }
+    void tell_table() {
+        told_ = world.agreed().number;
+        std::string text;
+        for (std::size_t i = 0; i < world.agreed().slots.size(); ++i) {
+            const holdings::Seats& seats = world.agreed().slots[i];
+            text += fmt::format(" {}:", i);
+            for (const Name& each : seats.copies) text += each.value;
+            for (const Name& each : seats.joining) text += "+" + each.value;
+        }
+        fmt::print("{:8.3f} table {}, steward n{}:{}\n", since(), told_.value, steward_ + 1, text);
+    }
+    // The lease goes on to another when its holder is out of reach; the old one may believe for a while
+    // longer.
+    void lease() {
+        const bool well = steward_ >= 0 && world.up(steward_) && !stopped(steward_) &&
+                          !is_cut(steward_, members_) && !is_cut(members_, steward_);
+        if (well) {
+            unwell_since_ = now();
+            world.steward(steward_, true);
+        } else if (now() > unwell_since_ + 1) {
+            if (steward_ >= 0) {
+                const int old = steward_;
+                at(now() + draw(0, 3), [this, old] {
+                    if (old != steward_) world.steward(old, false);
+                });
+            }
+            steward_ = drawn_member();
+        }
+        flush();
+        at(now() + 0.3, [this] { lease(); });
+    }
+    void traffic() {
+        if (traffic_ends_ == 0) {
+            const bool again = !asked_of_.empty() && draw(0, 1) < 0.5;
+            const std::uint64_t what =
+                again ? asked_of_[static_cast<std::size_t>(draw_below(static_cast<int>(asked_of_.size())))]
+                      : ++last_;
+            if (!again) asked_of_.push_back(what);
+            if (asked_of_.size() > 40) asked_of_.erase(asked_of_.begin());
+            const int node = drawn_member();
+            if (!stopped(node)) asked += world.invoke(node, what, what % 2 == 0, now() + draw(0.2, 2.5));
+        }
+        for (std::size_t i = world.flights().size(); i-- > 0;) {
+            const double what = draw(0, 1);
+            if (what < 0.25)
+                world.fly(i);
+            else if (what < 0.29)
+                world.lose(i, draw(0, 1) < 0.5);
+        }
+        flush();
+        at(now() + draw(0.005, 0.06), [this] { traffic(); });
+    }
+    const HoldersWish wish_;
+    const int members_;
+    double start_ = 0, unwell_since_ = -10, traffic_ends_ = 0;
+    int steward_ = -1;
+    std::vector<double> heard_;
+    std::vector<std::uint64_t> asked_of_;
+    std::uint64_t last_ = 0;
+    holdings::View told_;
+};
+
+struct Outcome {
+    std::string fault;
+    std::uint64_t steps = 0, asked = 0, granted = 0, kept = 0, throttled = 0, twice = 0, losses = 0,
+                  promised = 0;
+};
+
+Outcome check_one(const HoldersWish& wish, std::uint32_t seed) {
+    Play run(wish, seed);
+    Holders& world = run.world;
+    const auto tell = [&](const std::string& what) {
+        if (wish.verbose) fmt::print("{:8.3f} {}\n", run.since(), what);
+    };
+    const auto later = [&](double when, std::string what, std::function<void()> call) {
+        run.at(when, [&, what = std::move(what), call = std::move(call)] {
+            tell(what);
+            call();
+        });
+    };
+    // Machines lost with their disks, as many at once as the copies allow, and only once repair is done.
+    const int at_once = (wish.least > 0 ? wish.least : wish.copies) - 1;
+    const auto lose_machines = [&] {
+        if (!world.whole() || at_once < 1) return;
+        const int first = run.drawn_member();
+        std::vector<int> lost{first};
+        const int places = std::max(wish.copies, wish.members / 2);
+        for (int i = 0; i < wish.members; ++i) {
+            // All in one place, or others as long as copies remain.
+            const bool same_place = i != first && i % places == first % places;
+            if (same_place || (static_cast<int>(lost.size()) < at_once && i != first && run.draw(0, 1) < 0.3))
+                lost.push_back(i);
+        }
+        std::set<int> in;
+        for (const int each : lost) in.insert(each % places);
+        if (static_cast<int>(in.size()) > at_once) lost = {first};
+        for (const int each : lost) {
+            tell(fmt::format("lose machine n{}", each + 1));
+            ++run.losses;
+            run.kill(each);
+            world.wipe(each);
+            later(run.now() + run.draw(0.1, 8), fmt::format("start n{} on an empty disk", each + 1),
+                  [&, each] { world.start(each); });
+        }
+    };
+    const std::function<void()> mishap = [&] {
+        if (run.since() > kLength) return;
+        const double until = run.now() + run.draw(0.1, 5);
+        const int one = run.drawn_member(), other = run.draw_below(world.nodes());
+        switch (run.draw_below(13)) {
+            case 0:
+            case 1:
+                tell(fmt::format("kill n{}", one + 1));
+                run.kill(one);
+                later(until, fmt::format("start n{}", one + 1), [&, one] { world.start(one); });
+                break;
+            case 2:
+            case 3:
+            case 4:
+                lose_machines();
+                break;
+            case 5:
+                tell(fmt::format("stop n{}", one + 1));
+                run.stop(one, true);
+                later(until, fmt::format("go n{}", one + 1), [&, one] { run.stop(one, false); });
+                break;
+            case 6:
+            case 7:
+                tell(fmt::format("cut {} {}", one + 1, other + 1));
+                run.cut(one, other, true);
+                if (run.draw(0, 1) < 0.5) run.cut(other, one, true);
+                later(until, "heal",
+                      [&, one, other] { run.cut(one, other, false), run.cut(other, one, false); });
+                break;
+            case 8: {
+                std::vector<bool> side(static_cast<std::size_t>(world.nodes()));
+                for (std::size_t i = 0; i < side.size(); ++i) side[i] = run.draw(0, 1) < 0.4;
+                tell("split");
+                for (int a = 0; a < world.nodes(); ++a)
+                    for (int b = 0; b < world.nodes(); ++b)
+                        if (side[static_cast<std::size_t>(a)] != side[static_cast<std::size_t>(b)])
+                            run.cut(a, b, true);
+                later(until, "heal", [&] { run.heal(); });
+                break;
+            }
+            case 9:
+                tell(fmt::format("slow n{}", one + 1));
+                run.delay(one, run.draw(0.1, 3));
+                later(until, "no longer slow", [&, one] { run.delay(one, 0); });
+                break;
+            case 10: {
+                const double by = run.draw(0.05, 0.8);
+                tell(fmt::format("writes of n{} take up to {:.2f} s, then it is killed", one + 1, by));
+                run.slow_disk(one, by);
+                later(until, fmt::format("kill n{}", one + 1), [&, one] {
+                    run.kill(one);
+                    run.slow_disk(one, 0);
+                    run.at(run.now() + 0.2, [&, one] { world.start(one); });
+                });
+                break;
+            }
+            case 11:
+                if (!world.whole() || wish.copies < 2) break;
+                tell(fmt::format("rot at n{}", one + 1));
+                run.kill(one);
+                ++run.losses;
+                for (std::uint32_t i = 0; i < 8; ++i)
+                    if (run.draw(0, 1) < 0.4) world.rot(one, Slot{i});
+                run.at(run.now() + 0.3, [&, one] { world.start(one); });
+                break;
+            default:
+                tell("restart of all, one by one");
+                for (int i = 0; i < wish.members; ++i)
+                    run.at(run.now() + 0.8 * i, [&, i] {
+                        run.kill(i);
+                        run.at(run.now() + 0.4, [&, i] { world.start(i); });
+                    });
+        }
+        run.at(run.now() + run.draw(0.3, 4), mishap);
+    };
+    run.begin();
+    run.at(run.now() + 8, mishap);
+    run.run(run.now() + kLength);
+    run.heal();
+    for (int i = 0; i < wish.members; ++i) {
+        run.delay(i, 0), run.stop(i, false), run.slow_disk(i, 0);
+        world.start(i);
+    }
+    run.run(run.now() + kQuiet / 2);
+    run.end_traffic();
+    run.run(run.now() + kQuiet / 2);
+    const auto count = [&](Ended how) {
+        const auto it = world.ended.find(how);
+        return it == world.ended.end() ? 0 : it->second;
+    };
+    Outcome outcome{world.fault(),           run.steps,   run.asked,  world.granted,   count(Ended::kept),
+                    count(Ended::throttled), world.twice, run.losses, world.promised()};
+    if (!outcome.fault.empty()) {
+        outcome.fault = fmt::format("at {:.3f} s: {}", run.since(), outcome.fault);
+        return outcome;
+    }
+    if (!wish.copied) return outcome;
+    if (!world.whole() && wish.verbose)
+        for (int i = 0; i < wish.members; ++i)
+            fmt::print("n{} {}\n", i + 1, world.steward_of(i) ? world.steward_of(i)->state() : "down");
+    if (!world.whole())
+        outcome.fault = fmt::format("{} s after all was healed not all copies are there", kQuiet);
+    if (const auto lost = world.forgotten(); outcome.fault.empty() && !lost.empty())
+        outcome.fault = fmt::format("{} promised records are missing, {}", lost.size(), lost.front());
+    if (outcome.fault.empty() && world.open() > 0)
+        outcome.fault = fmt::format("{} invocations have no end", world.open());
+    return outcome;
+}
+
+}  // namespace
+
+int check_holders(const HoldersWish& wish) {
+    std::mutex lock;
+    int faults = 0;
+    Outcome all;
+    each_seed(wish.first, wish.seeds, [&](std::uint32_t seed) {
+        const Outcome one = check_one(wish, seed);
+        const std::lock_guard guard(lock);
+        all.steps += one.steps, all.asked += one.asked, all.granted += one.granted, all.kept += one.kept;
+        all.throttled += one.throttled, all.twice += one.twice, all.losses += one.losses;
+        all.promised += one.promised;
+        if (one.fault.empty()) return;
+        ++faults;
+        fmt::print("seed {}: {}\n", seed, one.fault);
+    });
+    fmt::print(
+        "holders: {} seeds from {}, {} members, {} copies{}, {:.0f} s of faults each (virtual time), {} "
+        "steps, {} "
+        "invocations, {} dispatches granted, {} answers from what was kept, {} throttled, {} keys promised, "
+        "{} machine "
+        "losses, {} effects too many: {}\n",
+        wish.seeds, wish.first, wish.members, wish.copies, wish.copied ? "" : " (off)", kLength, all.steps,
+        all.asked, all.granted, all.kept, all.throttled, all.promised, all.losses, all.twice,
+        faults ? fmt::format("{} with faults", faults) : "all hold");
+    return faults ? 1 : 0;
+}
+
+}  // namespace tideline::simulated
--- a/tools/virtual/main.cpp
+++ b/tools/virtual/main.cpp
@@ -9,6 +9,7 @@
 #include <mutex>
 
 #include "virtual/fleet.hpp"
+#include "virtual/holders.hpp"
 #include "virtual/leases.hpp"
 #include "virtual/seeds.hpp"
 
@@ -329,7 +330,22 @@
     CLI::App* gaps = app.add_subcommand("gaps", "how long a lease is without a holder, and by how many wait");
     gaps->add_option("--seeds", seeds, "how many")->capture_default_str();
     gaps->add_option("--waiting", waiting, "members that wait")->capture_default_str();
+    HoldersWish wish;
+    CLI::App* holds =
+        app.add_subcommand("holders", "members that hold for each other: seeded faults, losses");
+    holds->add_option("--seed", wish.first, "the first")->capture_default_str();
+    holds->add_option("--seeds", wish.seeds, "how many")->capture_default_str();
+    holds->add_option("--members", wish.members, "how many")
+        ->check(CLI::Range(2, 200))
+        ->capture_default_str();
+    holds->add_option("--copies", wish.copies, "of each slot")
+        ->check(CLI::Range(1, 5))
+        ->capture_default_str();
+    holds->add_option("--least", wish.least, "of them, on which what is acknowledged is; 0: all");
+    holds->add_flag("--off{false}", wish.copied, "with copies off: what is lost without");
+    holds->add_flag("--verbose", wish.verbose, "what happens, for one seed");
     CLI11_PARSE(app, argc, argv);
+    if (holds->parsed()) return check_holders(wish);
     if (leases->parsed()) return check_leases(seed, seeds, planners, holders, verbose);
     if (gaps->parsed()) {
         measure_leases(seeds, waiting);
