--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -830,7 +830,12 @@
         if (op.value < 0 || op.value >= static_cast<int>(covers.size())) return;
         taken_by[slot(op)].add(now, window);
         for (Stretch* stretch : {&taken_from[customer], &taken_all}) stretch->add(now, kCarriedOver);
+        enter(id, op, customer, key, budget, {});
+    }
+    void enter(InvId id, Operation op, Customer customer, std::optional<ObjectKey> key, Seconds budget,
+               const std::vector<Dispatch>& by_others) {
         Invocation inv;
+        inv.dispatches = by_others;
         inv.op = op, inv.customer = customer, inv.key = key;
         inv.taken = now, inv.ends = now + budget;
         auto& kept = open.insert_or_assign(id, std::move(inv)).first->second;
@@ -991,6 +996,13 @@
                               std::optional<ObjectKey> key, Seconds budget, std::optional<Seconds>) {
     at(now).taken(inv, op, customer, key, budget);
 }
+void Choice::invocation_entered(Seconds now, InvId inv, Operation op, Customer customer,
+                                std::optional<ObjectKey> key, Seconds budget,
+                                const std::vector<Dispatch>& earlier) {
+    Desk& desk = at(now);
+    if (op.value >= 0 && op.value < static_cast<int>(desk.covers.size()))
+        desk.enter(inv, op, customer, key, budget, earlier);
+}
 void Choice::stream_begun(Seconds now, InvId inv, DispatchNo no) { at(now).begun(inv, no); }
 void Choice::dispatch_ended(Seconds now, InvId inv, DispatchNo no, const PodId& pod, Outcome outcome,
                             Seconds took, bool concluded, const Load&) {
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "records.hpp"
 #include "words.hpp"
 
 namespace tideline {
@@ -36,6 +37,11 @@
     void list_lost(Seconds now);
     void invocation_taken(Seconds now, InvId inv, Operation op, Customer customer,
                           std::optional<ObjectKey> key, Seconds budget, std::optional<Seconds> work);
+    // One that others may have sent before: by rule 2 it is bound by these as by its own dispatches, and
+    // their numbers count. It was taken, or counted as taken, already.
+    void invocation_entered(Seconds now, InvId inv, Operation op, Customer customer,
+                            std::optional<ObjectKey> key, Seconds budget,
+                            const std::vector<Dispatch>& earlier);
     void stream_begun(Seconds now, InvId inv, DispatchNo no);
     void dispatch_ended(Seconds now, InvId inv, DispatchNo no, const PodId& pod, Outcome outcome,
                         Seconds took, bool concluded, const Load& load);
--- /dev/null
+++ b/src/cli/holdings.hpp
@@ -0,0 +1,21 @@
+// `tideline holdings`: what is held where, how endangered it is, what repair is doing.
+#pragma once
+
+#include <string>
+
+#include "words.hpp"
+
+namespace tideline::cli {
+
+struct HoldingsWish {
+    std::string at;         // host:port of any member
+    std::string key;        // OPERATION,CUSTOMER,FINGERPRINT: what is held of one invocation
+    std::string epochs_of;  // a member: what it acted on, as kept by others
+    std::string give_up;    // a member that is off and stays off
+    bool json = false;
+    Seconds within = 5;
+};
+// Status 0: all is whole; 1: copies are missing; 2: something is out of reach, or can't be told.
+int holdings(const HoldingsWish& wish);
+
+}  // namespace tideline::cli
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,5 +1,7 @@
 #include "cli/serve.hpp"
 
+#include <fmt/format.h>
+
 #include <utility>
 
 #include "cli/signals.hpp"
@@ -54,6 +56,26 @@
     return terms;
 }
 
+// Danger: what is held for a shorter time than pods tell repeats would let a late repeat take effect again.
+void check_keep(const Slip& slip, const fleet::Treaty& treaty) {
+    if (!treaty.copies.on) return;
+    const int count = static_cast<int>(slip.need("operations.count"));
+    for (int i = 0; i < count; ++i) {
+        const std::string at = "operations." + std::to_string(i);
+        const auto effect = slip.terms.find(at + ".effect");
+        if (effect == slip.terms.end() || effect->second == Term{std::string("idempotent")}) continue;
+        const auto window = slip.terms.find(at + ".repeat_window");
+        const double repeats = window == slip.terms.end() || !std::holds_alternative<double>(window->second)
+                                   ? 0
+                                   : std::get<double>(window->second);
+        const double needed = repeats + slip.need(at + ".time_limit");
+        if (treaty.copies.keeper.keep < needed)
+            throw std::runtime_error(
+                fmt::format("copies.keep of {} s is less than the {} s for which {} needs what is held",
+                            treaty.copies.keeper.keep, needed, at));
+    }
+}
+
 }  // namespace
 
 int serve(const ServeWish& wish) {
@@ -64,10 +86,13 @@
     Loop loop;
     Signals signals(loop);
     std::unique_ptr<fleet::Fellow> fellow;
-    if (!wish.fleet.empty())
-        fellow = std::make_unique<fleet::Fellow>(loop, log, fleet::treaty_of(wish.fleet),
-                                                 fleet::digest_of(slip.text), pace_terms(slip), slip.seed);
-    Sidecar sidecar(loop, log, slip, fellow.get());
+    if (!wish.fleet.empty()) {
+        const fleet::Treaty treaty = fleet::treaty_of(wish.fleet);
+        check_keep(slip, treaty);
+        fellow = std::make_unique<fleet::Fellow>(loop, log, treaty, fleet::digest_of(slip.text),
+                                                 pace_terms(slip), slip.seed);
+    }
+    Sidecar sidecar(loop, log, slip, fellow.get(), fellow ? fellow->surety() : nullptr);
     if (fellow) fellow->begin(sidecar);
     Reading reading(loop, log, sidecar, fellow.get(), wish);
     bool ending = false;
--- a/src/fleet/duties.cpp
+++ b/src/fleet/duties.cpp
@@ -6,7 +6,7 @@
 namespace tideline::fleet {
 namespace {
 
-const lease::LeaseName kRollCall{"roll-call"}, kWarming{"warming"};
+const lease::LeaseName kRollCall{"roll-call"}, kWarming{"warming"}, kCopies{"copies"};
 
 warming::PaceTerms with(warming::PaceTerms terms, Seconds every) {
     terms.every = every;
@@ -23,6 +23,7 @@
       self_(treaty.name),
       calls_(treaty.roll_call > 0),
       warms_(treaty.warming > 0),
+      copies_(treaty.copies.on),
       window_(terms.window),
       tenant_(loop, log, *this, treaty.planners, treaty.lessee, treaty.address, {treaty.name, life}),
       roll_call_(*this, treaty.roll_call),
@@ -32,6 +33,7 @@
 void Duties::begin() {
     if (calls_) tenant_.want(kRollCall);
     if (warms_) tenant_.want(kWarming);
+    if (copies_) tenant_.want(kCopies);
     tenant_.watch();
     ring();
 }
@@ -46,6 +48,8 @@
         tenant_.ask_standing(kRollCall);
     } else if (lease == kWarming) {
         pace_.held(now);
+    } else if (lease == kCopies) {
+        owner_.copies_lease(true);
     }
     ring();
 }
@@ -53,6 +57,7 @@
     if (tenant_.may_act(lease)) return;  // it is held again already
     if (lease == kRollCall) roll_call_.lost();
     if (lease == kWarming) pace_.lost();
+    if (lease == kCopies) owner_.copies_lease(false);
     ring();
 }
 
@@ -73,7 +78,12 @@
     tenant_.alarm(kRollCall, true, key, text);
 }
 void Duties::clear(const std::string& key) { tenant_.alarm(kRollCall, false, key, {}); }
-void Duties::alarm_settled(const lease::LeaseName&, const std::string& key, bool raised, bool changed) {
+void Duties::alarm_settled(const lease::LeaseName& lease, const std::string& key, bool raised, bool changed) {
+    if (lease == kCopies) {
+        if (raised && changed) log_.alarm("copies: {}", texts_["copies " + key]);
+        if (!raised && changed) log_.line("copies: over: {}", key);
+        return;
+    }
     roll_call_.settled(key, raised);
     // Only who changed it says so: once for the fleet, whoever calls the roll next.
     if (raised && changed) log_.alarm("roll call: {}", texts_[key]);
@@ -85,8 +95,28 @@
 }
 
 // A holder that the planners have deposed is refused here from now on, also before its successor acts.
-void Duties::held_by(const lease::LeaseName& lease, const Name&, lease::Fence fence) {
+void Duties::held_by(const lease::LeaseName& lease, const Name& member, lease::Fence fence,
+                     std::uint64_t number) {
     if (fence > lease::Fence{}) gate_.passes(lease, fence);
+    if (lease != kCopies || !copies_) return;
+    steward_ = member;
+    owner_.copies_newest(number);
+}
+
+// --- The copies
+void Duties::write_table(std::uint64_t number, const std::string& bytes) {
+    tenant_.write(kCopies, number, bytes);
+}
+void Duties::read_table() { tenant_.ask_written(kCopies); }
+void Duties::written(const lease::LeaseName& lease, std::uint64_t, bool done) {
+    if (lease == kCopies) owner_.copies_written(done);
+}
+void Duties::read(const lease::LeaseName& lease, std::uint64_t number, const std::string& bytes) {
+    if (lease == kCopies) owner_.copies_read(number, bytes);
+}
+void Duties::alarm_copies(bool raised, const std::string& key, const std::string& text) {
+    texts_["copies " + key] = text;
+    tenant_.alarm(kCopies, raised, key, text);
 }
 
 // --- Warming
--- a/src/fleet/duties.hpp
+++ b/src/fleet/duties.hpp
@@ -21,6 +21,11 @@
         virtual std::vector<Name> here() const = 0;  // the others that are present
         virtual void say_paces(const Name& to, const wire::Paces& paces) = 0;
         virtual void pace(const PodId& pod, double most, Seconds valid) = 0;  // of this member itself
+        // Of the copies: the lease on seeing to them, and what its holders wrote.
+        virtual void copies_lease(bool held) = 0;
+        virtual void copies_newest(std::uint64_t number) = 0;
+        virtual void copies_written(bool done) = 0;
+        virtual void copies_read(std::uint64_t number, const std::string& bytes) = 0;
     };
     Duties(net::Loop& loop, net::Log& log, Owner& owner, const Treaty& treaty, const Life& life,
            const warming::PaceTerms& terms);
@@ -33,6 +38,11 @@
     void gathered(const std::vector<wire::Row>& rows);
     // From the one that holds the lease. False where an older fence asks; else this member's answer is owed.
     bool paces_told(const Name& by, const wire::Paces& paces);
+    // The table of the copies, and alarms about them.
+    void write_table(std::uint64_t number, const std::string& bytes);
+    void read_table();
+    void alarm_copies(bool raised, const std::string& key, const std::string& text);
+    const Name& steward() const { return steward_; }
     double sent_of_late() const;
     void sent_told(const Name& by, double in_window);
 
@@ -43,7 +53,10 @@
     void alarm_settled(const lease::LeaseName& lease, const std::string& key, bool raised,
                        bool changed) override;
     void standing(const lease::LeaseName& lease, const std::set<std::string>& keys) override;
-    void held_by(const lease::LeaseName& lease, const Name& member, lease::Fence fence) override;
+    void held_by(const lease::LeaseName& lease, const Name& member, lease::Fence fence,
+                 std::uint64_t number) override;
+    void written(const lease::LeaseName& lease, std::uint64_t number, bool done) override;
+    void read(const lease::LeaseName& lease, std::uint64_t number, const std::string& bytes) override;
     // audit::RollCallHost
     void gather() override;
     void raise(const std::string& key, const std::string& text) override;
@@ -58,7 +71,7 @@
     net::Log& log_;
     Owner& owner_;
     const Name self_;
-    const bool calls_, warms_;
+    const bool calls_, warms_, copies_;
     const Seconds window_;
     Tenant tenant_;
     audit::RollCall roll_call_;
@@ -67,6 +80,7 @@
     std::map<Name, wire::Paces> dealt_;  // to be sent, once the deal is done
     lease::Fence dealt_under_;           // told in the log once
     std::map<std::string, std::string> texts_;
+    Name steward_;  // who sees to the copies
     Stretch sent_;
     net::Due::Key ring_ = net::Due::kNone;
 };
--- a/src/fleet/fellow.cpp
+++ b/src/fleet/fellow.cpp
@@ -90,6 +90,9 @@
     if (treaty.planners.empty()) return;
     Duties::Owner& owner = *this;
     duties_ = std::make_unique<Duties>(loop, log, owner, treaty, archive_.life(), pace);
+    if (!treaty.copies.on) return;
+    Trustee::Owner& holder = *this;
+    trustee_ = std::make_unique<Trustee>(loop, log, holder, treaty, archive_.life(), seed | 1);
 }
 Fellow::~Fellow() {
     loop_.due.cancel(ring_);
@@ -103,6 +106,7 @@
     ring();
     review();
     if (duties_) duties_->begin();
+    if (trustee_) trustee_->begin(ward);
     log_.line("fleet: member {} at {}, life {}{}, {} seeds", treaty_.name.value, treaty_.address,
               archive_.life().value, archive_.disk().value ? "" : ", no folder", treaty_.seeds.size());
 }
@@ -122,6 +126,7 @@
               fixed ? "; member, place, addresses, folder, epochs and planners wait for a restart" : "");
 }
 void Fellow::leave() {
+    if (trustee_) trustee_->leave();
     if (duties_) duties_->leave();
     ledger_.seal(net::clock_now());
     roll_.leave(net::clock_now());
@@ -195,6 +200,7 @@
 void Fellow::sealed(const audit::Epoch& epoch) {
     if (!archive_.keep(epoch) && !std::exchange(archive_full_, true))
         log_.alarm("fleet: epochs can't be written to {}", treaty_.folder);
+    if (trustee_) trustee_->sealed(epoch);
 }
 
 // --- What is said to others
@@ -259,6 +265,7 @@
         return;
     }
     currency_.known(now, entry);
+    if (trustee_) trustee_->member_is(entry.name, entry.life, entry.place, entry.standing >= Standing::gone);
     if (new_life)
         log_.line("fleet: {} is here at {}, life {}", entry.name.value, entry.address, entry.life.value);
     else if (entry.standing != before)
@@ -402,6 +409,11 @@
     if (!began_) return;
     const Seconds now = net::clock_now();
     if (word.has_ask_fleet()) return asked(link, word.ask_fleet());
+    if (word.has_ask_holdings()) {
+        wire::Holdings none;
+        none.set_asked(treaty_.name.value), none.set_why("it holds nothing for others: copies are off there");
+        return trustee_ ? trustee_->asked(link, word.ask_holdings()) : reply_holdings(link, none);
+    }
     const Entry from = entry_from(word.from().self());
     if (from.name.value.empty() || from.name == treaty_.name) return;
     if (!parley_.belongs(link, from.name, from.address))
@@ -467,6 +479,9 @@
         case wire::Word::kRecord:
             recorded(from.name, word.record());
             break;
+        case wire::Word::kHolding:
+            if (trustee_) trustee_->said(from.name, from.life, word.holding());
+            break;
         case wire::Word::kPaces: {
             if (!duties_ || !duties_->paces_told(from.name, word.paces())) break;
             wire::Word said = this->word();
@@ -568,6 +583,20 @@
         if (entry.standing == Standing::present) names.push_back(name);
     return names;
 }
+void Fellow::say_holding(const Name& to, const wire::Holding& holding) {
+    wire::Word said = word();
+    *said.mutable_holding() = holding;
+    send(to, said);
+}
+void Fellow::reply_holdings(LinkNo link, const wire::Holdings& answer) {
+    wire::Word said;
+    *said.mutable_holdings() = answer;
+    parley_.reply(link, said);
+}
+const PodLine* Fellow::line_of(const PodId& pod) const {
+    const auto it = pods_.find(pod);
+    return it == pods_.end() ? nullptr : &it->second.line;
+}
 void Fellow::say_paces(const Name& to, const wire::Paces& paces) {
     wire::Word said = word();
     *said.mutable_paces() = paces;
--- a/src/fleet/fellow.hpp
+++ b/src/fleet/fellow.hpp
@@ -16,6 +16,7 @@
 #include "fleet/parley.hpp"
 #include "fleet/roll.hpp"
 #include "fleet/treaty.hpp"
+#include "fleet/trustee.hpp"
 #include "net/log.hpp"
 #include "net/onlooker.hpp"
 
@@ -26,7 +27,8 @@
                audit::CurrencyHost,
                audit::LedgerHost,
                Parley::Owner,
-               Duties::Owner {
+               Duties::Owner,
+               Trustee::Owner {
   public:
     // `told`: digest of the sidecar's own configuration; `pace`: its rule on cold pods. Throws
     // std::runtime_error with one plain line.
@@ -34,8 +36,9 @@
            const warming::PaceTerms& pace, std::uint64_t seed);
     ~Fellow() override;
     void begin(net::Ward& ward);
-    void take_up(const Treaty& fresh);  // after SIGHUP: what can change at run time
-    void leave();                       // after SIGTERM: the others are told
+    net::Surety* surety() { return trustee_.get(); }  // none where nothing is held for others
+    void take_up(const Treaty& fresh);                // after SIGHUP: what can change at run time
+    void leave();                                     // after SIGTERM: the others are told
     // net::Onlooker
     bool takes_revision(std::int64_t revision) override;
     void list_told(std::int64_t revision, ListKind kind, const std::vector<PodLine>& lines,
@@ -90,6 +93,30 @@
     std::vector<Name> here() const override;
     void say_paces(const Name& to, const wire::Paces& paces) override;
     void pace(const PodId& pod, double most, Seconds valid) override;
+    void copies_lease(bool held) override {
+        if (trustee_) trustee_->lease_is(held);
+    }
+    void copies_newest(std::uint64_t number) override {
+        if (trustee_) trustee_->newest_is(number);
+    }
+    void copies_written(bool done) override {
+        if (trustee_) trustee_->table_written(done);
+    }
+    void copies_read(std::uint64_t number, const std::string& bytes) override {
+        if (trustee_) trustee_->table_read(number, bytes);
+    }
+    // Trustee::Owner
+    void say_holding(const Name& to, const wire::Holding& word) override;
+    void reply_holdings(LinkNo link, const wire::Holdings& answer) override;
+    const PodLine* line_of(const PodId& pod) const override;
+    void write_table(std::uint64_t number, const std::string& bytes) override {
+        duties_->write_table(number, bytes);
+    }
+    void read_table() override { duties_->read_table(); }
+    void alarm_copies(bool raised, const std::string& key, const std::string& text) override {
+        duties_->alarm_copies(raised, key, text);
+    }
+    Name steward() const override { return duties_->steward(); }
     // Parley::Owner
     void said(LinkNo link, const wire::Word& word) override;
     void unreachable(const Name& name) override;
@@ -133,7 +160,8 @@
     audit::Ledger ledger_;
     Roll roll_;
     audit::Currency currency_;
-    std::unique_ptr<Duties> duties_;  // none without planners
+    std::unique_ptr<Duties> duties_;    // none without planners
+    std::unique_ptr<Trustee> trustee_;  // none where nothing is held for others
     net::Due::Key ring_ = net::Due::kNone, review_ = net::Due::kNone;
     bool archive_full_ = false, began_ = false;
 };
--- a/src/fleet/parley.cpp
+++ b/src/fleet/parley.cpp
@@ -15,7 +15,9 @@
 bool wants_answer(const wire::Word& word) {
     return word.has_ping() || word.has_ask_ping() || word.has_knock() || word.has_want() ||
            word.has_ask_vouch() || word.has_ask_record() || word.has_lease_ask() ||
-           word.planning().has_tell() || word.planning().has_vote_ask() || word.planning().has_knock();
+           word.holding().has_ask() || word.holding().has_copy() || word.holding().has_compare() ||
+           word.holding().has_ask_report() || word.planning().has_tell() || word.planning().has_vote_ask() ||
+           word.planning().has_knock();
 }
 
 }  // namespace
--- a/src/fleet/question.cpp
+++ b/src/fleet/question.cpp
@@ -13,6 +13,11 @@
     word.mutable_ask_fleet()->set_audit(audit);
     return word;
 }
+wire::Word asking(const wire::AskHoldings& what) {
+    wire::Word word;
+    *word.mutable_ask_holdings() = what;
+    return word;
+}
 
 }  // namespace
 
@@ -51,4 +56,14 @@
     return true;
 }
 
+HoldingsQuestion::HoldingsQuestion(net::Loop& loop, const net::Address& address,
+                                   const wire::AskHoldings& what)
+    : Words(loop, address, asking(what)) {}
+bool HoldingsQuestion::took(const wire::Word& word) {
+    if (!word.has_holdings()) return false;
+    answer = word.holdings();
+    answered = over = true;
+    return true;
+}
+
 }  // namespace tideline::fleet
--- a/src/fleet/question.hpp
+++ b/src/fleet/question.hpp
@@ -37,4 +37,15 @@
     bool took(const wire::Word& word) override;
 };
 
+// What is held for others, as one member can tell.
+class HoldingsQuestion : public Words {
+  public:
+    HoldingsQuestion(net::Loop& loop, const net::Address& address, const wire::AskHoldings& what);
+    wire::Holdings answer;
+    bool answered = false;
+
+  private:
+    bool took(const wire::Word& word) override;
+};
+
 }  // namespace tideline::fleet
--- a/src/fleet/reader.hpp
+++ b/src/fleet/reader.hpp
@@ -49,6 +49,12 @@
             to = from.c_str();
         };
     }
+    Takes yes_or_no(bool& to) {
+        return [this, &to](const Setting& from) {
+            if (from.getType() != Setting::TypeBoolean) return fault(from, "is to be true or false");
+            to = from;
+        };
+    }
     Takes address(std::string& to) {
         return [this, &to](const Setting& from) {
             if (from.getType() != Setting::TypeString || !net::address_of(from.c_str()))
--- a/src/fleet/tenant.cpp
+++ b/src/fleet/tenant.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::uint64_t kExtras = 1ULL << 63;     // their numbers are no lessee's
 constexpr Seconds kExtraFor = 5;                  // s: after that nobody waits for the answer
+constexpr Seconds kReadFor = 0.5;                 // s: what was read is asked for again
 constexpr Seconds kWatchEvery = 5;                // s: a planner forgets a watcher after three times that
 constexpr std::size_t kFrame = 16 * 1024 * 1024;  // bytes: a planner's table
 
@@ -96,20 +97,43 @@
 void Tenant::alarm(const LeaseName& lease, bool raised, const std::string& key, const std::string& text) {
     const auto fence = may_act(lease);
     if (!fence) return;
-    const Seconds now = lasting_now();
-    std::erase_if(extras_, [&](auto& each) { return now > each.second.at + kExtraFor; });
+    tend_extras();
     for (const auto& [no, extra] : extras_)  // it is under way already
-        if (extra.alarm && extra.lease == lease && extra.key == key) return;
-    const std::uint64_t no = kExtras + ++last_extra_;
-    extras_[no] = {lease, key, true, raised, now};
+        if (extra.what == Extra::alarm && extra.lease == lease && extra.key == key) return;
+    const std::uint64_t no = begin({lease, key, Extra::alarm, raised, 0, 0});
     wire::LeaseAsk said = ask(raised ? wire::LeaseAsk::RAISE : wire::LeaseAsk::CLEAR, no, lease, *fence);
     said.set_key(key), said.set_text(text);
     say(said);
 }
 void Tenant::ask_standing(const LeaseName& lease) {
+    say(ask(wire::LeaseAsk::TABLE, begin({lease, {}, Extra::standing, false, 0, 0}), lease, {}));
+}
+void Tenant::write(const LeaseName& lease, std::uint64_t number, const std::string& bytes) {
+    const auto fence = may_act(lease);
+    if (!fence) return;
+    wire::LeaseAsk said =
+        ask(wire::LeaseAsk::WRITE, begin({lease, {}, Extra::write, false, 0, number}), lease, *fence);
+    said.set_number(number), said.set_text(bytes);
+    say(said);
+}
+void Tenant::ask_written(const LeaseName& lease) {
+    tend_extras();
+    for (const auto& [no, extra] : extras_)  // it is under way already
+        if (extra.what == Extra::read && extra.lease == lease) return;
+    say(ask(wire::LeaseAsk::READ, begin({lease, {}, Extra::read, false, 0, 0}), lease, {}));
+}
+std::uint64_t Tenant::begin(const Extra& extra) {
     const std::uint64_t no = kExtras + ++last_extra_;
-    extras_[no] = {lease, {}, false, false, lasting_now()};
-    say(ask(wire::LeaseAsk::TABLE, no, lease, {}));
+    extras_[no] = extra;
+    extras_[no].at = lasting_now();
+    return no;
+}
+// Danger: a question whose answer was lost would bar the next one like it for good.
+void Tenant::tend_extras() {
+    const Seconds now = lasting_now();
+    std::erase_if(extras_, [&](auto& each) {
+        return now > each.second.at + (each.second.what == Extra::read ? kReadFor : kExtraFor);
+    });
 }
 
 void Tenant::said(LinkNo, const wire::Word& word) {
@@ -121,7 +145,7 @@
     }
     if (word.has_holds() && word.holds().cluster() == cluster_)
         owner_.held_by(LeaseName{word.holds().lease()}, Name{word.holds().member()},
-                       Fence{word.holds().fence()});
+                       Fence{word.holds().fence()}, word.holds().number());
     if (!word.has_lease_answer()) return;
     const wire::LeaseAnswer& answer = word.lease_answer();
     // Danger: planners of another cluster know nothing of what these have granted.
@@ -136,9 +160,13 @@
     if (const auto extra = extras_.find(answer.no()); extra != extras_.end()) {
         const Extra its = extra->second;
         extras_.erase(extra);
-        if (what == lease::Answer::not_now) return another_planner();
+        if (what == lease::Answer::not_now) another_planner();
+        if (its.what == Extra::write)
+            return owner_.written(its.lease, its.number, what == lease::Answer::granted && answer.done());
         if (what != lease::Answer::granted) return;
-        if (its.alarm) return owner_.alarm_settled(its.lease, its.key, its.raised, answer.done());
+        if (its.what == Extra::read) return owner_.read(its.lease, answer.number(), answer.bytes());
+        if (its.what == Extra::alarm)
+            return owner_.alarm_settled(its.lease, its.key, its.raised, answer.done());
         if (answer.table().stale()) return;
         std::set<std::string> keys;
         for (const auto& each : answer.table().raised())
--- a/src/fleet/tenant.hpp
+++ b/src/fleet/tenant.hpp
@@ -24,7 +24,12 @@
         virtual void alarm_settled(const lease::LeaseName& lease, const std::string& key, bool raised,
                                    bool changed) = 0;
         virtual void standing(const lease::LeaseName& lease, const std::set<std::string>& keys) = 0;
-        virtual void held_by(const lease::LeaseName& lease, const Name& member, lease::Fence fence) = 0;
+        // `number`: of what its holders wrote
+        virtual void held_by(const lease::LeaseName& lease, const Name& member, lease::Fence fence,
+                             std::uint64_t number) = 0;
+        // What was to be written is; or it is not, or nobody knows.
+        virtual void written(const lease::LeaseName& lease, std::uint64_t number, bool done) = 0;
+        virtual void read(const lease::LeaseName& lease, std::uint64_t number, const std::string& bytes) = 0;
     };
     Tenant(net::Loop& loop, net::Log& log, Owner& owner, const std::vector<std::string>& planners,
            const lease::LesseeTerms& terms, const std::string& own_address, const lease::Member& self);
@@ -38,13 +43,18 @@
     // Acts at the planners, under the lease's fence; nothing where this member may not act.
     void alarm(const lease::LeaseName& lease, bool raised, const std::string& key, const std::string& text);
     void ask_standing(const lease::LeaseName& lease);
+    // For all, as the next one after `number` - 1, under the lease's fence.
+    void write(const lease::LeaseName& lease, std::uint64_t number, const std::string& bytes);
+    void ask_written(const lease::LeaseName& lease);  // told by read
 
   private:
     struct Extra {  // a question that is not the lessee's
         lease::LeaseName lease;
         std::string key;
-        bool alarm = false, raised = false;
+        enum What { standing, alarm, write, read } what = standing;
+        bool raised = false;
         Seconds at = 0;
+        std::uint64_t number = 0;
     };
     // lease::LesseeHost
     void ask_take(lease::AskNo no, const lease::LeaseName& lease) override;
@@ -59,6 +69,8 @@
     void unreachable(const Name&) override {}
     void parley_said(const std::string& what) override { log_.line("leases: {}", what); }
 
+    std::uint64_t begin(const Extra& extra);
+    void tend_extras();
     wire::LeaseAsk ask(wire::LeaseAsk::What what, std::uint64_t no, const lease::LeaseName& lease,
                        lease::Fence fence) const;
     void say(const wire::LeaseAsk& what);
--- a/src/fleet/treaty.cpp
+++ b/src/fleet/treaty.cpp
@@ -44,6 +44,35 @@
                               {"warming", read.number(treaty.warming, 0, 60, " s")}});
             if (treaty.planners.empty()) read.fault(from, "addresses is missing, or names no planner");
         };
+        const auto copies = [&](const Setting& from) {
+            CopiesTerms& its = treaty.copies;
+            its.on = true;
+            std::string otherwise = "throttle";
+            its.steward.least = 0;
+            read.group(from,
+                       {{"copies", read.number(its.steward.copies, 1, 5)},
+                        {"least", read.number(its.steward.least, 1, 5)},
+                        {"slots", read.number(its.steward.slots, 1, 16384)},
+                        {"keep", read.number(its.keeper.keep, 1, 86400, " s")},
+                        {"keep_epochs", read.number(its.keeper.keep_bytes, 60, 90 * 86400.0, " s")},
+                        {"within", read.number(its.claims.within, 0.01, 30, " s")},
+                        {"otherwise", read.text(otherwise)},
+                        {"come_back", read.number(its.claims.come_back, 0, 600, " s")},
+                        {"absent", read.number(its.steward.absent, 0.2, 86400, " s")},
+                        {"rest", read.number(its.steward.rest, 0.2, 3600, " s")},
+                        {"review", read.number(its.steward.every, 0.05, 60, " s")},
+                        {"lag", read.number(its.keeper.lag, 0.05, 60, " s")},
+                        {"moves", read.number(its.steward.moves, 1, 16384)},
+                        {"repair_rate", read.number(its.keeper.repair_rate, 1e3, 1e9, " bytes a second")},
+                        {"compare", read.number(its.keeper.compare, 0.2, 86400, " s")},
+                        {"scrub", read.number(its.scrub, 1, 30 * 86400.0, " s")},
+                        {"grouped", read.yes_or_no(its.grouped)}});
+            if (its.steward.least == 0) its.steward.least = its.steward.copies;
+            if (its.steward.least > its.steward.copies) read.fault(from, "least is more than copies");
+            if (otherwise != "throttle" && otherwise != "alone")
+                read.fault(from, "otherwise is to be \"throttle\" or \"alone\"");
+            its.claims.alone = otherwise == "alone";
+        };
         const auto limits = [&](const Setting& from) {
             read.group(from, {{"links", read.number(treaty.links, 4, 10000)},
                               {"frame", read.number(treaty.frame, 16384, 64.0 * 1024 * 1024, " bytes")}});
@@ -58,10 +87,13 @@
                               {"membership", membership},
                               {"audit", audit},
                               {"planners", planners},
+                              {"copies", copies},
                               {"limits", limits}});
             for (const char* needed : {"member", "listen"})
                 if (from.isGroup() && !from.exists(needed))
                     read.fault(from, fmt::format("{} is missing", needed));
+            if (treaty.copies.on && treaty.folder.empty()) read.fault(from, "copies need a folder");
+            if (treaty.copies.on && treaty.planners.empty()) read.fault(from, "copies need planners");
             for (const std::string* each : {&treaty.name.value, &treaty.place.value})
                 if (each->size() > kNameMost) read.fault(from, "a name of more than 100 bytes");
         };
--- a/src/fleet/treaty.hpp
+++ b/src/fleet/treaty.hpp
@@ -7,10 +7,22 @@
 
 #include "audit/currency.hpp"
 #include "fleet/roll.hpp"
+#include "holdings/claims.hpp"
+#include "holdings/steward.hpp"
 #include "lease/lessee.hpp"
 
 namespace tideline::fleet {
 
+// What sidecars hold for each other.
+struct CopiesTerms {
+    bool on = false;
+    holdings::KeeperTerms keeper;
+    holdings::ClaimsTerms claims;
+    holdings::StewardTerms steward;
+    Seconds scrub = 3600;  // all that is held is read back from the disk once in this
+    bool grouped = true;   // many records an fsync; false only to be measured
+};
+
 struct Treaty {
     Name name;
     Place place;
@@ -27,7 +39,8 @@
     lease::LesseeTerms lessee;
     Seconds roll_call = 5;  // from one to the next, by the one that holds its lease; 0: never
     Seconds warming = 0.5;  // from one deal of paces to the next, likewise
-    std::string digest;     // of the file's text
+    CopiesTerms copies;
+    std::string digest;  // of the file's text
 };
 
 struct Fault {
--- /dev/null
+++ b/src/holdings/cabinet.hpp
@@ -0,0 +1,101 @@
+// What a member holds, on its disk: one SQLite file, written by a thread of its own so that the sidecar
+// serves on while the disk is slow. All that came while one write was under way goes into the next: many
+// records an fsync. Each row has a checksum, each slot the sum of its rows, so that an altered row, a missing
+// one and one that was moved are found.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "disk/sheets.hpp"
+#include "holdings/keeper.hpp"
+
+namespace tideline::holdings {
+
+struct CabinetTerms {
+    Seconds keep = 120, keep_bytes = 86400;  // as the keeper's
+    disk::Seal seal = disk::Seal::journal;
+    bool grouped = true;  // false: an fsync for each record, to be measured
+};
+
+class Cabinet {
+  public:
+    // Opens the folder, or makes it with a fresh disk. What is damaged as a whole is put aside, and the disk
+    // is a fresh one. Throws std::runtime_error where the folder can't be used, or is another member's.
+    Cabinet(const std::string& folder, const Name& name, std::uint64_t fresh_disk, const CabinetTerms& terms);
+    ~Cabinet();  // all that was asked for is written first
+    Cabinet(const Cabinet&) = delete;
+    Cabinet& operator=(const Cabinet&) = delete;
+
+    const Disk& disk() const { return disk_; }
+    const std::string& odd() const { return odd_; }  // what was odd about the folder, in a line
+    Found take_found() { return std::move(found_); }
+
+    // In this order onto the disk.
+    void put(StoreNo no, Slot slot, const Record& record, Seconds now);
+    void drop(StoreNo no, Slot slot, std::vector<Key> keys);
+    void clear(StoreNo no, Slot slot);
+    void number(StoreNo no, View number);
+    void scrub(Slot slot);  // reads it back, behind what was asked for before
+
+    int ready() const { return ready_; }  // a descriptor that can be read once there is something to take
+    struct Done {
+        StoreNo up_to;             // on the disk, with all before it
+        std::string failed;        // why the disk takes nothing more; empty: it does
+        std::vector<Slot> rotten;  // found by scrubbing
+    };
+    Done take_done();
+    // For measurements.
+    std::uint64_t commits() const { return commits_; }
+    std::uint64_t rows() const { return rows_; }
+
+  private:
+    struct Task {
+        enum What { put, drop, clear, number, scrub } what = put;
+        StoreNo no;
+        Slot slot;
+        Key key;
+        std::string bytes;
+        std::vector<Key> keys;
+        View view;
+    };
+    struct Rows {  // of one slot
+        std::map<Key, std::int64_t> sums;
+        std::int64_t digest = 0;
+        void set(const Key& key, std::int64_t sum);
+        void drop(const Key& key);
+    };
+    using Statement = disk::Sheets::Statement;
+    void open(const std::string& folder, const Name& name, std::uint64_t fresh_disk);
+    void read(const Name& name);
+    void set(const char* key, const std::string& bytes);
+    bool get(const char* key, std::string& bytes);
+    void ask(Task task);
+    void work();
+    void write(const std::deque<Task>& tasks);
+    bool reads_back(Slot slot);
+    void tell();
+
+    const CabinetTerms terms_;
+    std::unique_ptr<disk::Sheets> sheets_;
+    Disk disk_;
+    std::string odd_;
+    Found found_;
+    std::map<Slot, Rows> sums_;  // the thread's once it runs
+    int ready_ = -1;
+    std::mutex lock_;
+    std::condition_variable wakes_;
+    std::deque<Task> tasks_;
+    Done done_;
+    bool ends_ = false;
+    std::atomic<std::uint64_t> commits_{0}, rows_{0};
+    std::thread writer_;
+};
+
+}  // namespace tideline::holdings
--- a/src/holdings/claims.cpp
+++ b/src/holdings/claims.cpp
@@ -15,6 +15,19 @@
 
 }  // namespace
 
+Fate fate_of(Outcome outcome) {
+    switch (outcome) {
+        case Outcome::succeeded:
+            return Fate::answered;
+        case Outcome::full:
+        case Outcome::unreachable:
+        case Outcome::moot:
+            return Fate::not_run;
+        default:
+            return Fate::may_have_run;
+    }
+}
+
 Claims::Claims(ClaimsHost& host, const ClaimsTerms& terms, const Name& self, const Life& life, Seconds now)
     : host_(&host),
       terms_(terms),
@@ -60,7 +73,8 @@
     Open& open = open_[what.inv];
     open.what = what;
     open.phase = Phase::claims;
-    open.its = {{self_, life_, what.inv.value}, no.value, Fate::out, location, cell, now};
+    open.dispatch = no;
+    open.its = {{self_, life_, what.inv.value}, open.tries++, Fate::out, location, cell, now};
     open.since = now;
     ask(now, open);
 }
@@ -76,7 +90,7 @@
     if (open.phase == Phase::waits)
         host_->ask_look(*home, open.no, open.what.key);
     else
-        host_->ask_claim(*home, open.no, open.what.key, open.its, open.knows);
+        host_->ask_claim(*home, open.no, open.what.key, open.what.content, open.its, open.knows);
 }
 // The copies can't be made in time. The claim may have been granted all the same, so it is taken back.
 void Claims::fail(Seconds now, Open& open) {
@@ -88,14 +102,20 @@
     if (terms_.alone) {
         ++uncopied_;
         open.phase = Phase::out;
-        return host_->go(inv, DispatchNo{open.its.no});
+        open.sent[open.dispatch] = open.its;
+        return host_->go(inv, open.dispatch);
     }
     ++throttled_;
+    never_went(now, open);
+    open_.erase(inv);
+    host_->cannot(inv, terms_.come_back);
+}
+
+// Danger: what was asked for, may be granted yet, and is not wanted any more would look as if it were out.
+void Claims::never_went(Seconds now, const Open& open) {
     Try its = open.its;
     its.fate = Fate::not_run;
     tell_later(now, Telling::settle, open.what.key, its, {});
-    open_.erase(inv);
-    host_->cannot(inv, terms_.come_back);
 }
 
 // --- What is known of others
@@ -104,6 +124,7 @@
     if (record && record->answered) {
         ++repeats_;
         const std::string answer = record->answer;
+        never_went(now, open);
         open_.erase(inv);
         return host_->kept(inv, answer);
     }
@@ -118,6 +139,7 @@
             earlier.back().sent -= now - open.asked;
         }
     if (running) return;
+    never_went(now, open);
     if (!earlier.empty() && !open.what.repeatable) {
         open_.erase(inv);
         return host_->unknown(inv);
@@ -162,7 +184,8 @@
             ++granted_;
             in_need_ = false;
             open.phase = Phase::out;
-            return host_->go(open.what.inv, DispatchNo{open.its.no});
+            open.sent[open.dispatch] = open.its;
+            return host_->go(open.what.inv, open.dispatch);
         case Reply::answered:
         case Reply::running:
         case Reply::uncertain:
@@ -178,6 +201,14 @@
         case Reply::blind:
             if (open.phase == Phase::claims) return fail(now, open);
             return;
+        case Reply::other: {
+            if (open.phase != Phase::claims) return;
+            const InvId inv = open.what.inv;
+            never_went(now, open);
+            open_.erase(inv);
+            host_->waits(inv);
+            return host_->unknown(inv);
+        }
         default:  // asked again, soon
             return;
     }
@@ -186,20 +217,18 @@
 // --- What came of it
 void Claims::ended(Seconds now, InvId inv, DispatchNo no, Fate fate, const std::string& answer) {
     const auto it = open_.find(inv);
-    if (it == open_.end() || it->second.phase != Phase::out || it->second.its.no != no.value) return;
-    Try its = it->second.its;
+    if (it == open_.end()) return;
+    const auto sent = it->second.sent.find(no);
+    if (sent == it->second.sent.end()) return;
+    Try its = sent->second;
     its.fate = fate;
+    it->second.sent.erase(sent);
     tell_later(now, Telling::settle, it->second.what.key, its, answer);
 }
 void Claims::over(Seconds now, InvId inv) {
     const auto it = open_.find(inv);
     if (it == open_.end()) return;
-    // What was asked for and is not wanted any more must not look as if it were out.
-    if (it->second.phase == Phase::claims) {
-        Try its = it->second.its;
-        its.fate = Fate::not_run;
-        tell_later(now, Telling::settle, it->second.what.key, its, {});
-    }
+    if (it->second.phase != Phase::out) never_went(now, it->second);
     asked_.erase(it->second.no);
     open_.erase(it);
 }
@@ -245,6 +274,7 @@
             fail(now, open);
         } else if (open.phase == Phase::waits && now >= open.what.ends - kSpared) {
             asked_.erase(open.no);
+            never_went(now, open);
             open_.erase(it);
             host_->unknown(inv);
         } else if (now >= open.again_at) {
--- a/src/holdings/claims.hpp
+++ b/src/holdings/claims.hpp
@@ -16,7 +16,7 @@
 class ClaimsHost {
   public:
     virtual ~ClaimsHost() = default;
-    virtual void ask_claim(const Name& home, AskNo no, const Key& key, const Try& what,
+    virtual void ask_claim(const Name& home, AskNo no, const Key& key, std::uint64_t content, const Try& what,
                            std::optional<Version> knows) = 0;
     virtual void ask_settle(const Name& home, AskNo no, const Key& key, const Try& what,
                             const std::string& answer) = 0;
@@ -51,11 +51,15 @@
 struct Covered {
     InvId inv;
     Key key;
+    std::uint64_t content = 0;  // digest of what it says, beyond the key
     bool repeatable =
         false;  // pods tell repeats by its fingerprint; else no dispatch may follow one that may have run
     Seconds ends = 0;
 };
 
+// What a dispatch's end says of whether it ran.
+Fate fate_of(Outcome outcome);
+
 class Claims {
   public:
     Claims(ClaimsHost& host, const ClaimsTerms& terms, const Name& self, const Life& life, Seconds now);
@@ -88,7 +92,10 @@
     struct Open {
         Covered what;
         Phase phase = Phase::claims;
-        Try its;  // the newest dispatch
+        Try its;                         // the newest dispatch
+        DispatchNo dispatch;             // its number at the sidecar
+        int tries = 0;                   // its number here: never used twice by one invocation
+        std::map<DispatchNo, Try> sent;  // all that went out and have not ended
         std::optional<Version> knows;
         Seconds since = 0, asked = 0, again_at = 0;
         AskNo no;
@@ -107,6 +114,7 @@
     void tell_later(Seconds now, Telling::What what, const Key& key, const Try& its,
                     const std::string& bytes);
     void fail(Seconds now, Open& open);
+    void never_went(Seconds now, const Open& open);
     void judge(Seconds now, Open& open, const Record* record);
     bool dead(Seconds now, const Claimant& by) const;
     void waits_for(Seconds now, const Name& home);
--- a/src/holdings/codec.cpp
+++ b/src/holdings/codec.cpp
@@ -39,6 +39,7 @@
     to.set_view(record.version.view.value), to.set_step(record.version.step);
     for (const Try& each : record.tries) put(now, each, *to.add_tries());
     to.set_answered(record.answered), to.set_answer(record.answer);
+    to.set_content(record.content), to.set_bytes_only(record.bytes_only);
     to.set_left(std::max(0.0, record.drop_at - now));
 }
 Record record_from(Seconds now, const wire::HeldRecord& from) {
@@ -47,6 +48,7 @@
     record.version = {View{from.view()}, from.step()};
     for (const auto& each : from.tries()) record.tries.push_back(try_from(now, each));
     record.answered = from.answered(), record.answer = from.answer();
+    record.content = from.content(), record.bytes_only = from.bytes_only();
     record.drop_at = now + std::max(0.0, from.left());
     return record;
 }
@@ -185,12 +187,12 @@
 }
 
 }  // namespace
-void Post::ask_claim(const Name& home, AskNo no, const Key& key, const Try& what,
+void Post::ask_claim(const Name& home, AskNo no, const Key& key, std::uint64_t content, const Try& what,
                      std::optional<Version> knows) {
     wire::Holding word;
     wire::HeldAsk& its = ask(word, wire::HeldAsk::CLAIM, no, key);
     put(time(), what, *its.mutable_its());
-    its.set_knows(knows.has_value());
+    its.set_content(content), its.set_knows(knows.has_value());
     if (knows) its.set_knows_view(knows->view.value), its.set_knows_step(knows->step);
     post(home, word);
 }
@@ -222,7 +224,8 @@
             const Try its = try_from(now, ask.its());
             std::optional<Version> knows;
             if (ask.knows()) knows = Version{View{ask.knows_view()}, ask.knows_step()};
-            if (ask.what() == wire::HeldAsk::CLAIM) return keeper.claim(now, from, no, key, its, knows);
+            if (ask.what() == wire::HeldAsk::CLAIM)
+                return keeper.claim(now, from, no, key, ask.content(), its, knows);
             if (ask.what() == wire::HeldAsk::SETTLE)
                 return keeper.settle(now, from, no, key, its, ask.bytes());
             if (ask.what() == wire::HeldAsk::KEEP) return keeper.keep(now, from, no, key, ask.bytes());
@@ -231,7 +234,7 @@
         case wire::Holding::kReply: {
             const wire::HeldReply& reply = word.reply();
             const Record record = record_from(now, reply.record());
-            return claims.replied(now, AskNo{reply.no()}, within(reply.what(), Reply::blind),
+            return claims.replied(now, AskNo{reply.no()}, within(reply.what(), Reply::other),
                                   View{reply.number()}, reply.has_record() ? &record : nullptr);
         }
         case wire::Holding::kCopy: {
--- a/src/holdings/codec.hpp
+++ b/src/holdings/codec.hpp
@@ -31,7 +31,7 @@
                  const std::vector<Stamp>& stamps) override;
     void reply(const Name& to, AskNo no, Reply what, View number, const Record* record) override;
     // ClaimsHost
-    void ask_claim(const Name& home, AskNo no, const Key& key, const Try& what,
+    void ask_claim(const Name& home, AskNo no, const Key& key, std::uint64_t content, const Try& what,
                    std::optional<Version> knows) override;
     void ask_settle(const Name& home, AskNo no, const Key& key, const Try& what,
                     const std::string& answer) override;
--- a/src/holdings/keeper.cpp
+++ b/src/holdings/keeper.cpp
@@ -62,6 +62,18 @@
 }
 
 // --- Who holds what
+template <class Goes>
+void Keeper::drop_if(Slot slot, Shelf& shelf, Goes goes) {
+    std::vector<Key> dropped;
+    std::erase_if(shelf.records, [&](const auto& each) {
+        const bool goes_now = goes(each.second);
+        if (goes_now) dropped.push_back(each.first);
+        return goes_now;
+    });
+    if (dropped.empty()) return;
+    last_store_.value += 1;
+    host_->store_drop(last_store_, slot, dropped);
+}
 void Keeper::table_told(Seconds now, const Table& table) {
     now_ = now;
     // Danger: a planner that lags, asked after a restart, would bring back homes that were deposed.
@@ -74,7 +86,6 @@
     const bool mine = its != table.disks.end() && its->second == disk_;
     const bool other_size = !shelves_.empty() && shelves_.rbegin()->first.value >= table.slots.size();
     if (other_size) host_->note("the table has fewer slots than are held: what is beyond them is dropped");
-    std::vector<Key> dropped;
     const auto clear = [&](Slot slot, Shelf& shelf) {
         drop_ops(slot, shelf);
         shelf.records.clear();
@@ -107,11 +118,7 @@
         }
         // Who joins, or begins a slot that was lost, holds nothing that can be wrong.
         if (shelf.rotten && (seats.joins(self_) || seats.blind > before.blind)) clear(Slot{i}, shelf);
-        std::erase_if(shelf.records, [&](const auto& each) {
-            const bool old = each.second.version.view < seats.blind;
-            if (old) dropped.push_back(each.first);
-            return old;
-        });
+        drop_if(Slot{i}, shelf, [&](const Record& each) { return each.version.view < seats.blind; });
         shelf.open = false;
         shelf.syncs.clear();
         if (!home(shelf)) {
@@ -150,10 +157,6 @@
         look_at_syncs(now, Slot{i}, shelf);
         for (const OpNo no : free) settle_op(now, no);
     }
-    if (!dropped.empty()) {
-        last_store_.value += 1;
-        host_->store_drop(last_store_, dropped);
-    }
     wake_at(now + terms_.again);
 }
 
@@ -181,13 +184,13 @@
     request.what = what, request.from = from, request.no = no, request.key = key;
     return request;
 }
-void Keeper::claim(Seconds now, const Name& from, AskNo no, const Key& key, const Try& what,
-                   std::optional<Version> knows) {
+void Keeper::claim(Seconds now, const Name& from, AskNo no, const Key& key, std::uint64_t content,
+                   const Try& what, std::optional<Version> knows) {
     Try its = what;
     its.sent = now;  // it goes out after it was granted, so not before this
     its.fate = Fate::out;
     Request request = asked(Request::claim, from, no, key);
-    request.its = its, request.knows = knows;
+    request.its = its, request.knows = knows, request.content = content;
     ask(now, std::move(request));
 }
 void Keeper::settle(Seconds now, const Name& from, AskNo no, const Key& key, const Try& what,
@@ -240,7 +243,7 @@
         case Request::keep:
             if (record.answered && record.answer == request.bytes)
                 return confirm(slot, shelf, request, Reply::kept);
-            record.answered = true, record.answer = request.bytes;
+            record.answered = record.bytes_only = true, record.answer = request.bytes;
             return write(now, slot, shelf, std::move(record), &request, Reply::kept);
         case Request::settle: {
             const Fate fate = request.its.fate;
@@ -260,6 +263,8 @@
         case Request::claim:
             break;
     }
+    if (held != shelf.records.end() && record.content != request.content) return reply(Reply::other);
+    record.content = request.content;
     if (record.answered) return reply(Reply::answered);
     if (held == shelf.records.end() && now < shelf.blind_until) return reply(Reply::blind);
     if (own != record.tries.end()) {
@@ -308,7 +313,7 @@
 }
 void Keeper::write(Seconds now, Slot slot, Shelf& shelf, Record record, const Request* asker, Reply reply) {
     record.version = {shelf.seats.since, ++last_step_};
-    record.drop_at = now + terms_.keep;
+    record.drop_at = now + (record.bytes_only ? terms_.keep_bytes : terms_.keep);
     put(slot, shelf, record);
     Op op;
     op.slot = slot, op.key = record.key, op.reply = reply;
@@ -620,16 +625,10 @@
 void Keeper::expire(Seconds now) {
     if (now < swept_ + kSweepEvery) return;
     swept_ = now;
-    std::vector<Key> dropped;
     for (auto& [slot, shelf] : shelves_)
-        std::erase_if(shelf.records, [&](const auto& each) {
-            if (now < each.second.drop_at || shelf.busy.contains(each.first)) return false;
-            dropped.push_back(each.first);
-            return true;
+        drop_if(slot, shelf, [&, its = &shelf](const Record& each) {
+            return now >= each.drop_at && !its->busy.contains(each.key);
         });
-    if (dropped.empty()) return;
-    last_store_.value += 1;
-    host_->store_drop(last_store_, dropped);
 }
 
 // --- How it stands
--- a/src/holdings/keeper.hpp
+++ b/src/holdings/keeper.hpp
@@ -25,7 +25,8 @@
     seen,       // a look: the record as all copies have it
     not_now,    // this home can't tell yet: ask again
     not_here,   // another is home: ask the one of a newer table
-    blind       // all that held it were lost: it can't be known
+    blind,      // all that held it were lost: it can't be known
+    other       // the key stands for something else: a fingerprint that was used before
 };
 
 // What a keeper may do. Each call takes effect at once; none calls back into the keeper.
@@ -34,7 +35,7 @@
     virtual ~KeeperHost() = default;
     // Onto the disk, in the order of the calls; Keeper::stored tells how far that got.
     virtual void store(StoreNo no, Slot slot, const Record& record) = 0;
-    virtual void store_drop(StoreNo no, const std::vector<Key>& keys) = 0;
+    virtual void store_drop(StoreNo no, Slot slot, const std::vector<Key>& keys) = 0;
     virtual void store_clear(StoreNo no, Slot slot) = 0;  // all of the slot goes, also what can't be read
     virtual void store_number(StoreNo no, View number) = 0;
     // To a copy. No record: does it still take this home for its home?
@@ -52,6 +53,7 @@
 // What is told at start.
 struct KeeperTerms {
     Seconds keep = 120;           // a record, after it changed last
+    Seconds keep_bytes = 86400;   // what was only to be kept, likewise
     Seconds again = 0.3;          // until what is not acknowledged is sent again
     Seconds lag = 1;              // unacknowledged for so long, a copy is told of as lagging
     Seconds compare = 60;         // from one comparing of a slot with its copies to the next
@@ -76,8 +78,9 @@
 
     void table_told(Seconds now, const Table& table);
     // Questions of claimants. `knows`: the record's version, where the claimant knows of others' dispatches.
-    void claim(Seconds now, const Name& from, AskNo no, const Key& key, const Try& what,
-               std::optional<Version> knows);
+    // `content`: of what the invocation says, so that a fingerprint used for another thing is told.
+    void claim(Seconds now, const Name& from, AskNo no, const Key& key, std::uint64_t content,
+               const Try& what, std::optional<Version> knows);
     void settle(Seconds now, const Name& from, AskNo no, const Key& key, const Try& what,
                 const std::string& answer);
     void keep(Seconds now, const Name& from, AskNo no, const Key& key, const std::string& bytes);
@@ -113,6 +116,7 @@
         AskNo no;
         Key key;
         Try its;
+        std::uint64_t content = 0;
         std::optional<Version> knows;
         std::string bytes;
     };
@@ -177,6 +181,8 @@
     void look_at_syncs(Seconds now, Slot slot, Shelf& shelf);
     void put(Slot slot, Shelf& shelf, const Record& record);
     void expire(Seconds now);
+    template <class Goes>
+    void drop_if(Slot slot, Shelf& shelf, Goes goes);
     void say_after_store(Barrier barrier);
     void release();
     Digests digests(const Shelf& shelf) const;
--- a/src/holdings/words.hpp
+++ b/src/holdings/words.hpp
@@ -58,6 +58,8 @@
     Key key;
     Version version;
     std::vector<Try> tries;
+    std::uint64_t content = 0;  // digest of what it is about, beyond its key
+    bool bytes_only = false;    // no invocation's: bytes that are to be kept
     bool answered = false;
     std::string answer;   // of the pod, or bytes kept as they are
     Seconds drop_at = 0;  // on the own clock; never earlier than the promise ends
--- a/src/lease/register.cpp
+++ b/src/lease/register.cpp
@@ -33,7 +33,7 @@
     if (!lease.waiting.empty()) {
         lease.now = {at, lease.waiting.front(), unix_time, 0, End::held};
         lease.waiting.pop_front();
-    } else if (leases_.size() >= kLeasesMost && !raised_.contains(name)) {
+    } else if (leases_.size() >= kLeasesMost && !raised_.contains(name) && !written_.contains(name)) {
         leases_.erase(name);  // room for another task
     }
 }
@@ -72,9 +72,22 @@
     return it != raised_.end() && it->second.erase(key) > 0 ? Change::done : Change::as_it_was;
 }
 
-void Register::restore(std::map<LeaseName, Lease> leases, RaisedBy raised) {
+Change Register::write(const LeaseName& name, Fence fence, std::uint64_t number, const std::string& bytes) {
+    const Lease* lease = find(name);
+    // Danger: a deposed holder would write over what its successor wrote; one that has not seen the newest,
+    // too.
+    if (!lease || lease->now.fence != fence || fence == Fence{}) return Change::over;
+    const auto it = written_.find(name);
+    const std::uint64_t last = it == written_.end() ? 0 : it->second.number;
+    if (number != last + 1 || bytes.size() > kWrittenMost) return Change::as_it_was;
+    written_[name] = {number, bytes};
+    return Change::done;
+}
+
+void Register::restore(std::map<LeaseName, Lease> leases, RaisedBy raised, WrittenBy written) {
     leases_ = std::move(leases);
     raised_ = std::move(raised);
+    written_ = std::move(written);
 }
 std::string Register::state() const {
     std::string text;
@@ -88,6 +101,8 @@
     for (const auto& [name, all] : raised_)
         for (const auto& [key, each] : all)
             text += fmt::format("{}!{}@{};", name.value, key, each.fence.value);
+    for (const auto& [name, each] : written_)
+        text += fmt::format("{}#{}.{};", name.value, each.number, each.bytes.size());
     return text;
 }
 
--- a/src/lease/register.hpp
+++ b/src/lease/register.hpp
@@ -12,11 +12,12 @@
 namespace tideline::lease {
 
 // Bounds of the register, since all of it is in every snapshot.
-constexpr std::size_t kLeasesMost = 256;    // tasks for the fleet are few
-constexpr std::size_t kWaitersMost = 4096;  // a lease: a waiter for each member of a large fleet
-constexpr std::size_t kNameMost = 100;      // bytes
-constexpr std::size_t kPastMost = 32;       // holdings kept a lease, for people to read
-constexpr std::size_t kRaisedMost = 4096;   // alarms that stand
+constexpr std::size_t kLeasesMost = 256;       // tasks for the fleet are few
+constexpr std::size_t kWaitersMost = 4096;     // a lease: a waiter for each member of a large fleet
+constexpr std::size_t kNameMost = 100;         // bytes
+constexpr std::size_t kPastMost = 32;          // holdings kept a lease, for people to read
+constexpr std::size_t kRaisedMost = 4096;      // alarms that stand
+constexpr std::size_t kWrittenMost = 1 << 20;  // bytes that a lease's holder has written
 
 struct Holding {
     Fence fence;
@@ -40,6 +41,14 @@
     bool operator==(const Raised&) const = default;
 };
 
+// What the holder of a lease has written for all: whole, and numbered, so that nothing is written over
+// unseen.
+struct Written {
+    std::uint64_t number = 0;
+    std::string bytes;
+    bool operator==(const Written&) const = default;
+};
+
 // What came of an alarm that was to be raised or cleared: it changed, it stood (or did not) already, or the
 // fence was no longer the lease's.
 enum class Change { done, as_it_was, over };
@@ -58,12 +67,16 @@
     Change raise(double unix_time, const LeaseName& lease, Fence fence, const std::string& key,
                  const std::string& text);
     Change clear(const LeaseName& lease, Fence fence, const std::string& key);
+    // As the next one after `number` - 1 only; as_it_was where another came first, or it is too long.
+    Change write(const LeaseName& lease, Fence fence, std::uint64_t number, const std::string& bytes);
 
     const Lease* find(const LeaseName& lease) const;
     const std::map<LeaseName, Lease>& leases() const { return leases_; }
     using RaisedBy = std::map<LeaseName, std::map<std::string, Raised>>;
     const RaisedBy& raised() const { return raised_; }
-    void restore(std::map<LeaseName, Lease> leases, RaisedBy raised);
+    using WrittenBy = std::map<LeaseName, Written>;
+    const WrittenBy& written() const { return written_; }
+    void restore(std::map<LeaseName, Lease> leases, RaisedBy raised, WrittenBy written);
     std::string state() const;
 
   private:
@@ -71,6 +84,7 @@
              const std::vector<Member>& absent);
     std::map<LeaseName, Lease> leases_;
     RaisedBy raised_;
+    WrittenBy written_;
 };
 
 }  // namespace tideline::lease
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 
 #include "cli/ask.hpp"
 #include "cli/check.hpp"
+#include "cli/holdings.hpp"
 #include "cli/lease.hpp"
 #include "cli/plan.hpp"
 #include "cli/serve.hpp"
@@ -22,7 +23,8 @@
         "the log as one JSON object a line");
 }
 
-void add_asking(CLI::App& app, cli::AskWish& wish) {
+template <class Wish>
+void add_asking(CLI::App& app, Wish& wish) {
     app.add_option("--at", wish.at, "host:port of any member")->required();
     app.add_flag("--json", wish.json, "one JSON object");
     app.add_option("--within", wish.within, "seconds to wait for the answer")->capture_default_str();
@@ -56,6 +58,13 @@
     audit->add_option("--build", ask.build, "show epochs that acted on this build");
     CLI::App* members = app.add_subcommand("members", "who is there, as one member has it");
     add_asking(*members, ask);
+    cli::HoldingsWish held;
+    CLI::App* holdings = app.add_subcommand(
+        "holdings", "what is held for others, and where; status 1: copies are missing, 2: out of reach");
+    add_asking(*holdings, held);
+    holdings->add_option("--key", held.key, "OPERATION,CUSTOMER,FINGERPRINT: what is held of one invocation");
+    holdings->add_option("--epochs", held.epochs_of, "a member: what it acted on, as others keep it");
+    holdings->add_option("--give-up", held.give_up, "a member that is off for good: what it held is lost");
     std::string path;
     CLI::App* check = app.add_subcommand("check", "says all that is wrong with an operator file");
     check->add_option("file", path, "the operator file")->required();
@@ -93,6 +102,7 @@
     try {
         ask.audit = audit->parsed();
         if (audit->parsed() || members->parsed()) return cli::ask(ask);
+        if (holdings->parsed()) return cli::holdings(held);
         if (check->parsed()) return cli::check(path);
         if (planner->parsed()) return cli::plan(plan);
         if (lease.what == cli::LeaseWish::watch) return cli::watch(lease);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -199,12 +199,13 @@
         return true;
     }
     void read_query(std::string_view text) {
-        std::string_view record, op, customer, id, budget;
+        std::string_view record, op, customer, id, fingerprint, budget;
         const bool form = pg::statement(text, [&](std::string_view name, std::string_view value) {
             if (name.empty()) record = value;
             if (name == "id") id = value;
             if (name == "c") op = value;
             if (name == "t") customer = value;
+            if (name == "k") fingerprint = value;
             if (name == "d") budget = value;
         });
         double ms = 0;
@@ -214,7 +215,8 @@
             !std::isfinite(ms) || ms < 0)
             return fatal("22023", "d is not a number of milliseconds");
         const auto at = static_cast<std::size_t>(budget.data() - text.data());
-        inv_ = all_.owner_.admit(no_, id, text, at, budget.size(), op, customer, record, ms * 1e-3);
+        inv_ =
+            all_.owner_.admit(no_, id, text, at, budget.size(), op, customer, record, fingerprint, ms * 1e-3);
         if (!inv_) return fatal("22023", "unknown operation, or an id that is in use");
         all_.owner_.taken(*inv_);
     }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -29,7 +29,7 @@
         virtual std::optional<InvId> admit(ClientNo client, std::string_view id, std::string_view statement,
                                            std::size_t d_at, std::size_t d_size, std::string_view operation,
                                            std::string_view customer, std::string_view record,
-                                           Seconds budget) = 0;
+                                           std::string_view fingerprint, Seconds budget) = 0;
         virtual void taken(InvId inv) = 0;
         virtual void client_went(InvId inv) = 0;
     };
--- a/src/net/onlooker.hpp
+++ b/src/net/onlooker.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "net/link.hpp"
+#include "records.hpp"
 #include "words.hpp"
 
 namespace tideline::net {
@@ -31,6 +32,16 @@
     virtual void hand_news(Build build, Stage stage, Phase phase, double cap, Seconds age) = 0;
     virtual void stand(Stand stand) = 0;
     virtual void pace(const PodId& pod, double most, Seconds valid) = 0;
+    // Of a dispatch that was about to go out (surety.hpp): it may; it can't, and its invocation is throttled;
+    // it doesn't, and the invocation waits for what came of another's.
+    virtual void go(InvId inv, DispatchNo no) = 0;
+    virtual void cannot(InvId inv, Seconds come_back) = 0;
+    virtual void waits(InvId inv) = 0;
+    // Of an invocation that waits: the answer that was kept; to be decided anew, knowing of others'
+    // dispatches; it may have run, and can't be known.
+    virtual void kept(InvId inv, std::string_view answer) = 0;
+    virtual void enter(InvId inv, const std::vector<Dispatch>& earlier) = 0;
+    virtual void unknown(InvId inv) = 0;
 };
 
 }  // namespace tideline::net
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -36,10 +36,11 @@
 
 }  // namespace
 
-Sidecar::Sidecar(Loop& loop, Log& log, const Slip& slip, Onlooker* onlooker)
+Sidecar::Sidecar(Loop& loop, Log& log, const Slip& slip, Onlooker* onlooker, Surety* surety)
     : loop_(loop),
       log_(log),
       onlooker_(onlooker),
+      surety_(surety),
       terms_(slip.terms),
       name_(slip.name),
       listens_(slip.listen),
@@ -52,6 +53,13 @@
       platform_(loop, *this, slip.platform, slip.need("release.vote_wait"), slip.seed) {
     if (const auto it = terms_.find("allowed.overlap"); it != terms_.end())
         overlap_ = it->second != Term{0.0};
+    if (surety_)
+        for (const auto& [name, op] : operations_) {
+            const auto it = terms_.find("operations." + std::to_string(op.value) + ".effect");
+            if (it == terms_.end()) continue;
+            if (it->second == Term{std::string("fingerprinted")}) effects_[op] = Effect::fingerprinted;
+            if (it->second == Term{std::string("side-effecting")}) effects_[op] = Effect::side_effecting;
+        }
     if (operations_.empty()) throw std::runtime_error("missing term: operations.0.name");
     choice_ = std::make_unique<Choice>(*this, terms_, slip.seed, clock_now());
     list_.read(slip.known, true);
@@ -71,8 +79,12 @@
     must(held->out == 0 || overlap_, "dispatches are out together only where allowed");
     const DispatchNo no{held->dispatches++};
     ++held->out;
+    if (held->effect != Effect::idempotent) return ask_surety(inv, *held, no, pod, stop_at);
+    send(inv, *held, no, pod, stop_at);
+}
+void Sidecar::send(InvId inv, Held& held, DispatchNo no, const PodId& pod, Seconds stop_at) {
     if (onlooker_) onlooker_->dispatched(pod);
-    pods_.dispatch(inv, no, pod, std::min(stop_at, held->ends));
+    pods_.dispatch(inv, no, pod, std::min(stop_at, held.ends));
 }
 void Sidecar::conclude(InvId inv, std::string_view answer) {
     Held* held = held_.find(inv.value);
@@ -112,7 +124,8 @@
 }
 std::optional<InvId> Sidecar::admit(ClientNo client, std::string_view id, std::string_view statement,
                                     std::size_t d_at, std::size_t d_size, std::string_view operation,
-                                    std::string_view customer, std::string_view record, Seconds budget) {
+                                    std::string_view customer, std::string_view record,
+                                    std::string_view fingerprint, Seconds budget) {
     const auto op = operations_.find(operation);
     // Danger: who sends the id of another's invocation may not be served by what pods take for that one.
     if (op == operations_.end() || !ids_.emplace(id).second) return std::nullopt;
@@ -120,6 +133,11 @@
     Held held;
     held.client = client, held.id = id, held.statement = statement, held.d_at = d_at, held.d_size = d_size;
     held.op = op->second, held.customer = from == customers_.end() ? Customer{-1} : from->second;
+    if (const auto effect = effects_.find(op->second); effect != effects_.end()) {
+        held.effect = effect->second;
+        held.fingerprint = fingerprint.empty() ? id : fingerprint;
+        held.customer_name = customer;
+    }
     held.key = key_of(record), held.budget = std::max(0.0, budget - kWriteRoom);
     held.ends = clock_now() + held.budget;
     const InvId inv{held_.add(std::move(held))};
@@ -138,6 +156,7 @@
     ++went_;
     over(*held);
     choice_->invocation_dropped(clock_now(), inv);
+    if (const auto asked = take_asked(inv)) return never_ran(inv, *asked, true);
     settle(inv);
 }
 void Sidecar::over(Held& held) {
@@ -146,7 +165,9 @@
 }
 void Sidecar::settle(InvId inv) {
     const Held* held = held_.find(inv.value);
-    if (held && held->concluded && held->out == 0) held_.remove(inv.value);
+    if (!held || !held->concluded || held->out > 0) return;
+    if (held->effect != Effect::idempotent) surety_->over(inv);
+    held_.remove(inv.value);
 }
 
 // --- Pods
@@ -167,6 +188,7 @@
     if (!must(held, "what was dispatched is held")) return;
     --held->out;
     ++outcomes_[outcome];
+    if (held->effect != Effect::idempotent) surety_->ended(inv, no, outcome, answer);
     const bool serves = outcome == Outcome::succeeded && !held->concluded;
     if (serves) over(*held), clients_.answer(held->client, answer);
     choice_->dispatch_ended(clock_now(), inv, no, pod, outcome, took, held->concluded, load);
@@ -176,6 +198,80 @@
     choice_->probe_ended(clock_now(), pod, outcome, took, load);
 }
 
+// --- What must not run twice, where sidecars hold for each other
+void Sidecar::ask_surety(InvId inv, const Held& held, DispatchNo no, const PodId& pod, Seconds stop_at) {
+    asked_[inv] = {no, pod, stop_at, clock_now()};
+    Bound bound;
+    bound.inv = inv, bound.ends = held.ends;
+    bound.customer = held.customer_name, bound.fingerprint = held.fingerprint;
+    for (const auto& [name, op] : operations_)
+        if (op == held.op) bound.operation = name;
+    // What follows names this one request, and how long its client waits.
+    bound.statement = std::string_view(held.statement).substr(0, held.statement.find("/*"));
+    bound.repeatable = held.effect == Effect::fingerprinted;
+    surety_->about_to_go(bound, no, pod);
+}
+std::optional<Sidecar::Asked> Sidecar::take_asked(InvId inv) {
+    const auto it = asked_.find(inv);
+    if (it == asked_.end()) return std::nullopt;
+    const Asked asked = it->second;
+    asked_.erase(it);
+    return asked;
+}
+void Sidecar::never_ran(InvId inv, const Asked& asked, bool concluded) {
+    Held* held = held_.find(inv.value);
+    if (!must(held, "what was asked about is held")) return;
+    --held->out;
+    ++outcomes_[Outcome::moot];
+    choice_->dispatch_ended(clock_now(), inv, asked.no, asked.pod, Outcome::moot, clock_now() - asked.since,
+                            concluded, {});
+    settle(inv);
+}
+void Sidecar::go(InvId inv, DispatchNo no) {
+    const auto it = asked_.find(inv);
+    Held* held = held_.find(inv.value);
+    if (it == asked_.end() || it->second.no != no || !held) return;
+    const Asked asked = *take_asked(inv);
+    const Seconds now = clock_now();
+    // The pod may drain by now, or the cap have fallen: the module is asked as for any dispatch that had to
+    // wait.
+    if (now < std::min(asked.stop_at, held->ends) && choice_->still_good(now, inv, no))
+        return send(inv, *held, no, asked.pod, asked.stop_at);
+    ++recalled_;
+    surety_->ended(inv, no, Outcome::moot, {});
+    never_ran(inv, asked, held->concluded);
+}
+void Sidecar::cannot(InvId inv, Seconds come_back) {
+    const auto asked = take_asked(inv);
+    const Held* held = held_.find(inv.value);
+    if (!asked || !held) return;
+    if (!held->concluded) throttle(inv, come_back);
+    never_ran(inv, *asked, true);
+}
+void Sidecar::waits(InvId inv) {
+    const auto asked = take_asked(inv);
+    if (!asked || !held_.find(inv.value)) return;
+    // It is no longer the module's: what becomes of it hangs on another sidecar's dispatch.
+    never_ran(inv, *asked, true);
+}
+Sidecar::Held* Sidecar::waiting(InvId inv) {
+    Held* held = held_.find(inv.value);
+    return held && !held->concluded && held->out == 0 ? held : nullptr;
+}
+void Sidecar::kept(InvId inv, std::string_view answer) {
+    if (waiting(inv)) conclude(inv, answer);
+}
+void Sidecar::enter(InvId inv, const std::vector<Dispatch>& earlier) {
+    Held* held = waiting(inv);
+    if (!held) return;
+    held->dispatches = static_cast<int>(earlier.size());
+    const Seconds now = clock_now();
+    choice_->invocation_entered(now, inv, held->op, held->customer, held->key, held->ends - now, earlier);
+}
+void Sidecar::unknown(InvId inv) {
+    if (waiting(inv)) terminate(inv);
+}
+
 // --- List and platform
 void Sidecar::listed(ListKind kind, const std::vector<PodLine>& lines,
                      const std::vector<Address>& addresses) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -13,13 +13,15 @@
 #include "net/platform.hpp"
 #include "net/pods.hpp"
 #include "net/slip.hpp"
+#include "net/surety.hpp"
 
 namespace tideline::net {
 
 class Sidecar : public Host, public Ward, Clients::Owner, Pods::Owner, List::Owner, Platform::Owner {
   public:
-    // `onlooker`: told of what this sidecar acts on; none where the fleet is off.
-    Sidecar(Loop& loop, Log& log, const Slip& slip, Onlooker* onlooker = nullptr);
+    // `onlooker`: told of what this sidecar acts on; none where the fleet is off. `surety`: asked before what
+    // must not run twice goes out; none where sidecars hold nothing for each other.
+    Sidecar(Loop& loop, Log& log, const Slip& slip, Onlooker* onlooker = nullptr, Surety* surety = nullptr);
     ~Sidecar() override;
     void let_go();                    // after SIGTERM
     void take_up(const Slip& fresh);  // after SIGHUP: what can change at run time
@@ -33,11 +35,18 @@
     void pace(const PodId& pod, double most, Seconds valid) override {
         choice_->pace_told(clock_now(), pod, most, valid);
     }
+    void go(InvId inv, DispatchNo no) override;
+    void cannot(InvId inv, Seconds come_back) override;
+    void waits(InvId inv) override;
+    void kept(InvId inv, std::string_view answer) override;
+    void enter(InvId inv, const std::vector<Dispatch>& earlier) override;
+    void unknown(InvId inv) override;
 
   private:
     struct Held {  // an invocation that was taken, until nothing of it is out
         ClientNo client;
         std::string id, statement;
+        std::string fingerprint, customer_name;  // as its client wrote them, where there is a surety
         std::size_t d_at = 0, d_size = 0;
         Operation op;
         Customer customer;
@@ -45,6 +54,12 @@
         Seconds budget = 0, ends = 0;
         int dispatches = 0, out = 0;
         bool concluded = false;
+        Effect effect = Effect::idempotent;  // told only where there is a surety
+    };
+    struct Asked {  // a dispatch that the surety was asked about
+        DispatchNo no;
+        PodId pod;
+        Seconds stop_at = 0, since = 0;
     };
     // Host
     void dispatch(InvId inv, const PodId& pod, Seconds stop_at) override;
@@ -63,7 +78,8 @@
     bool room_for_client() override { return room_below(sockets_ - sockets_ / kSocketsForPods); }
     std::optional<InvId> admit(ClientNo client, std::string_view id, std::string_view statement,
                                std::size_t d_at, std::size_t d_size, std::string_view operation,
-                               std::string_view customer, std::string_view record, Seconds budget) override;
+                               std::string_view customer, std::string_view record,
+                               std::string_view fingerprint, Seconds budget) override;
     void taken(InvId inv) override;
     void client_went(InvId inv) override;
     // Pods::Owner
@@ -84,6 +100,11 @@
     void vote_answered(VoteReply reply) override;
     void platform_said(const std::string& what) override { log_.line("platform: {}", what); }
 
+    void send(InvId inv, Held& held, DispatchNo no, const PodId& pod, Seconds stop_at);
+    void ask_surety(InvId inv, const Held& held, DispatchNo no, const PodId& pod, Seconds stop_at);
+    std::optional<Asked> take_asked(InvId inv);
+    void never_ran(InvId inv, const Asked& asked, bool concluded);
+    Held* waiting(InvId inv);
     bool room_below(std::size_t most);
     void conclude(InvId inv, std::string_view answer);
     void over(Held& held);   // it has its answer, or nobody waits for one
@@ -93,12 +114,15 @@
     Loop& loop_;
     Log& log_;
     Onlooker* const onlooker_;
+    Surety* const surety_;
     const Terms terms_;
     std::string name_;
     Address listens_;
     std::size_t sockets_;
     std::map<std::string, Operation, std::less<>> operations_;
     std::map<std::string, Customer, std::less<>> customers_;
+    std::map<Operation, Effect> effects_;  // of those that must not run twice; none without a surety
+    std::map<InvId, Asked> asked_;
     Slots<Held> held_;
     std::set<std::string, std::less<>> ids_;  // of those that have no answer yet
     Clients clients_;
--- a/src/planner/codec.cpp
+++ b/src/planner/codec.cpp
@@ -86,6 +86,10 @@
     put_leases(leases, state);
     put(enrolment.wanted(), *state.mutable_admitted());
     for (const auto& name : enrolment.names()) state.add_known(name.value);
+    for (const auto& [name, each] : leases.written()) {
+        wire::WrittenState& into = *state.add_written();
+        into.set_lease(name.value), into.set_number(each.number), into.set_bytes(each.bytes);
+    }
     return state.SerializeAsString();
 }
 bool restore(const std::string& bytes, lease::Register& leases, consensus::Enrolment& enrolment) {
@@ -101,7 +105,10 @@
     lease::Register::RaisedBy raised;
     for (const wire::RaisedState& from : state.raised())
         raised[LeaseName{from.lease()}][from.key()] = {Fence{from.fence()}, from.since(), from.text()};
-    leases.restore(std::move(all), std::move(raised));
+    lease::Register::WrittenBy written;
+    for (const wire::WrittenState& from : state.written())
+        written[LeaseName{from.lease()}] = {from.number(), from.bytes()};
+    leases.restore(std::move(all), std::move(raised), std::move(written));
     std::set<fleet::Name> known;
     for (const auto& name : state.known()) known.insert(fleet::Name{name});
     enrolment.restore(council_from(state.admitted()), std::move(known));
@@ -139,6 +146,10 @@
         case wire::Command::CLEAR:
             effect.change = leases.clear(effect.lease, fence, said.key());
             break;
+        case wire::Command::WRITE:
+            effect.change = leases.write(effect.lease, fence, said.number(), said.text());
+            effect.wrote = effect.change == lease::Change::done;
+            break;
         case wire::Command::ADMIT:
             enrolment.admit(fleet::Name{said.seat().name()}, Peer{said.seat().peer()}, said.seat().address());
             break;
--- a/src/planner/codec.hpp
+++ b/src/planner/codec.hpp
@@ -27,7 +27,8 @@
     lease::LeaseName lease;
     bool take = false;
     lease::Member member;
-    lease::Change change = lease::Change::done;  // of an alarm
+    lease::Change change = lease::Change::done;  // of an alarm, or of what was written
+    bool wrote = false;
 };
 Effect apply(const std::string& command, consensus::LogIndex at, lease::Register& leases,
              consensus::Enrolment& enrolment);
--- a/src/planner/office.cpp
+++ b/src/planner/office.cpp
@@ -52,7 +52,9 @@
 void Office::apply(LogIndex at, const Record& record) {
     if (record.kind != consensus::RecordKind::command) return;
     const Effect effect = planner::apply(record.body, at, leases_, enrolment_);
-    if (const lease::Lease* its = leases_.find(effect.lease); its && its->now.fence.value == at.value)
+    if (effect.wrote)
+        host_->holder_changed(effect.lease);
+    else if (const lease::Lease* its = leases_.find(effect.lease); its && its->now.fence.value == at.value)
         host_->holder_changed(effect.lease);
     else if (its && its->now.fence == Fence{} && !its->past.empty())
         host_->holder_changed(effect.lease);
@@ -144,6 +146,17 @@
     command.set_key(key), command.set_text(text);
     decide(now, no, command);
 }
+void Office::write(Seconds now, AskNo no, const LeaseName& lease, Fence fence, std::uint64_t number,
+                   const std::string& bytes) {
+    const lease::Lease* its = leases_.find(lease);
+    if (lessor_.leads() && (!its || its->now.fence != fence))
+        return host_->answer(no, Answer::over, fence, 0, 0);
+    wire::Command command;
+    command.set_what(wire::Command::WRITE);
+    command.set_lease(lease.value), command.set_fence(fence.value);
+    command.set_number(number), command.set_text(bytes);
+    decide(now, no, command);
+}
 void Office::take_away(Seconds now, AskNo no, const LeaseName& lease) {
     const lease::Lease* its = leases_.find(lease);
     if (lessor_.leads() && (!its || its->now.fence == Fence{}))
--- a/src/planner/office.hpp
+++ b/src/planner/office.hpp
@@ -23,7 +23,8 @@
     virtual void decided(lease::AskNo no, bool changed) = 0;
     virtual void your_turn(const lease::Member& member, const lease::LeaseName& lease,
                            lease::Fence fence) = 0;
-    virtual void holder_changed(const lease::LeaseName&) {}  // as far as this planner has applied the log
+    // Its holder, or what its holders wrote, as far as this planner has applied the log.
+    virtual void holder_changed(const lease::LeaseName&) {}
 };
 
 struct OfficeTerms {
@@ -63,6 +64,9 @@
     // An alarm for all, by the holder of the lease under that fence: raised, or cleared.
     void alarm(Seconds now, lease::AskNo no, const lease::LeaseName& lease, lease::Fence fence, bool raised,
                const std::string& key, const std::string& text);
+    // For all, by the holder under that fence, as the next one.
+    void write(Seconds now, lease::AskNo no, const lease::LeaseName& lease, lease::Fence fence,
+               std::uint64_t number, const std::string& bytes);
     void take_away(Seconds now, lease::AskNo no, const lease::LeaseName& lease);
     void admit(Seconds now, lease::AskNo no, consensus::Peer peer, const consensus::Name& name,
                const std::string& address);
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -289,6 +289,9 @@
         holds.set_member(its->now.holder.name.value), holds.set_life(its->now.holder.life.value);
         holds.set_fence(its->now.fence.value);
     }
+    if (const auto written = office_->leases().written().find(lease);
+        written != office_->leases().written().end())
+        holds.set_number(written->second.number);
     parley_.reply(link, said);
 }
 
@@ -305,6 +308,15 @@
     }
     const AskNo no{++last_ask_};
     asked_[no] = {link, ask.no(), now};
+    if (ask.what() == wire::LeaseAsk::READ && office_) {
+        wire::LeaseAnswer told;
+        const auto written = office_->leases().written().find(LeaseName{ask.lease()});
+        if (written != office_->leases().written().end())
+            told.set_number(written->second.number), told.set_bytes(written->second.bytes);
+        reply(asked_[no], told);
+        asked_.erase(no);
+        return;
+    }
     const Member member{Name{ask.member()}, lease::Life{ask.life()}};
     if (!member.name.value.empty())
         routes_[member] = {link, ask.passed_on() ? Name{word.from().self().name()} : Name{}, now};
@@ -343,6 +355,8 @@
         case wire::LeaseAsk::CLEAR:
             return office_->alarm(now, no, lease, fence, ask.what() == wire::LeaseAsk::RAISE, ask.key(),
                                   ask.text());
+        case wire::LeaseAsk::WRITE:
+            return office_->write(now, no, lease, fence, ask.number(), ask.text());
         case wire::LeaseAsk::TAKE_AWAY: {
             const lease::Lease* its = office_->leases().find(lease);
             if (!its || its->now.fence == Fence{})
--- a/src/planner/vault.hpp
+++ b/src/planner/vault.hpp
@@ -2,27 +2,23 @@
 // checksum of its own, since SQLite tells a torn write but not an altered byte.
 #pragma once
 
-#include <memory>
 #include <string>
 #include <vector>
 
 #include "consensus/words.hpp"
-
-struct sqlite3;
+#include "disk/sheets.hpp"
 
 namespace tideline::planner {
 
 class Vault {
   public:
-    // How each transaction is made to last. Sealed by the journal: two or three fsyncs, one file at rest.
-    // Sealed by the write-ahead log: one fsync, but a log that was cut looks like one that was never longer.
-    enum class Seal { journal, ahead };
+    using Seal = disk::Seal;
 
     // Opens the folder, or makes it with a fresh disk. Throws std::runtime_error with one plain line where it
     // can't be used, is damaged, or belongs to another planner.
     Vault(const std::string& folder, const consensus::Name& name, std::uint64_t fresh_disk,
           Seal seal = Seal::journal);
-    ~Vault();
+    ~Vault() = default;
     Vault(const Vault&) = delete;
     Vault& operator=(const Vault&) = delete;
 
@@ -37,21 +33,15 @@
     void store(const std::vector<consensus::Storing>& all);
 
   private:
-    class Statement;
-    void run(const char* sql);
+    using Statement = disk::Sheets::Statement;
     void read(const consensus::Name& name);
     void put(const char* key, const std::string& bytes);
     bool get(const char* key, std::string& bytes);
     void put_all(const std::vector<consensus::Storing>& all);
     void put_record(std::uint64_t at, const consensus::Record& record);
-    [[noreturn]] void failed(const std::string& doing) const;
     [[noreturn]] void damaged(const std::string& what) const;
 
-    struct Close {
-        void operator()(::sqlite3* db) const;
-    };
-    std::string path_;
-    std::unique_ptr<::sqlite3, Close> db_;
+    disk::Sheets sheets_;
     consensus::Disk disk_;
     consensus::Cluster cluster_;
     consensus::Kept kept_;
--- a/tools/holders/world.cpp
+++ b/tools/holders/world.cpp
@@ -97,7 +97,7 @@
     void invoke(std::uint64_t what, bool repeatable, Seconds ends) {
         const InvId inv{++last_inv_};
         Inv& its = invs_[inv];
-        its.what = {inv, key_of(what), repeatable, ends};
+        its.what = {inv, key_of(what), what, repeatable, ends};
         dispatch(inv, its);
     }
     // Stands in for the decision module and its pods: one dispatch, where it may.
@@ -129,7 +129,7 @@
     void store(StoreNo no, Slot slot, const Record& record) override {
         pending_.push_back({no, slot, record, {}, {}, false});
     }
-    void store_drop(StoreNo no, const std::vector<Key>& keys) override {
+    void store_drop(StoreNo no, Slot, const std::vector<Key>& keys) override {
         pending_.push_back({no, {}, {}, keys, {}, false});
     }
     void store_clear(StoreNo no, Slot slot) override { pending_.push_back({no, slot, {}, {}, {}, true}); }
--- /dev/null
+++ b/tools/rig/copies.cpp
@@ -0,0 +1,585 @@
+#include "rig/copies.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+#include "holdings/codec.hpp"
+#include "rig/check.hpp"
+#include "rig/fleet.hpp"
+#include "stand/repeater.hpp"
+
+namespace tideline::rig {
+namespace {
+
+using namespace stand;
+using fleet::Name;
+using holdings::Seats;
+using holdings::Table;
+
+constexpr int kClientPort = 5433;
+constexpr Seconds kWhole = 20;  // s: after all is healed all copies are there again within this
+constexpr Seconds kLate =
+    0.15;  // s beyond a time limit: between a fact and the record of it, on a busy machine
+constexpr Seconds kServes = 1;  // s after its start: a sidecar serves by then
+constexpr std::size_t kAsked =
+    120;  // of those that had their answer: so many are asked for once more at the end
+
+Wish wish_of(const CopiesWish& wish) {
+    Wish all;
+    all.members = wish.members, all.copies = wish.off ? 0 : wish.copies, all.least = wish.least;
+    all.rate = 0;  // the stand-in clients of single sidecars are not wanted
+    all.baddisk = wish.council.baddisk;
+    return all;
+}
+
+struct Copies : Fleet {
+    explicit Copies(const CopiesWish& its, const Wish& base)
+        : Fleet(its.council, base),
+          wish(its),
+          clients(loop, addresses(its.members), {"charge", "instalment"}, its.council.seed) {}
+    static std::vector<net::Address> addresses(int members) {
+        std::vector<net::Address> all;
+        for (int i = 1; i <= members; ++i) all.push_back(at_port(256 + i, kClientPort));
+        return all;
+    }
+    void apply(const std::string& what, std::vector<double> with = {}) {
+        world.apply({0, what, std::move(with)});
+    }
+    void run(Seconds span) { world.run(span); }
+    // What one member that runs can tell; nothing where none answered.
+    std::optional<wire::Holdings> ask(const wire::AskHoldings& what = {}) {
+        for (int i = 1; i <= wish.members; ++i) {
+            World::Member& member = world.members[static_cast<std::size_t>(i)];
+            if (!member.process->runs() || member.stopped) continue;
+            fleet::HoldingsQuestion question(loop, at_port(i, kFleetPort, kListenNet), what);
+            world.run_until(2, [&] { return question.over; });
+            question.close();
+            if (question.answered) return question.answer;
+        }
+        return std::nullopt;
+    }
+    std::optional<Table> table() {
+        const auto answer = ask();
+        Table table;
+        if (!answer || !holdings::table_from(answer->table(), table)) return std::nullopt;
+        return table;
+    }
+    // All slots have all their copies, in different places, each home serves, all have the newest table.
+    bool whole() {
+        const auto answer = ask();
+        Table table;
+        if (!answer || !holdings::table_from(answer->table(), table) || table.slots.empty()) return false;
+        std::size_t open = 0;
+        std::map<Name, const wire::HeldReport*> reports;
+        for (const auto& row : answer->rows()) {
+            if (!row.has_report() || !row.report().works()) continue;
+            reports[Name{row.name()}] = &row.report();
+            open += row.report().open();
+        }
+        for (const Seats& seats : table.slots) {
+            std::set<int> places;
+            for (const Name& each : seats.copies) {
+                const auto it = reports.find(each);
+                const auto disk = table.disks.find(each);
+                if (it == reports.end() || disk == table.disks.end() ||
+                    it->second->disk() != disk->second.value || it->second->number() != table.number.value ||
+                    it->second->rotten_size() > 0)
+                    return false;
+                places.insert(std::stoi(each.value.substr(1)) % 3);
+            }
+            if (seats.copies.size() < table.wanted || !seats.joining.empty() || places.size() < table.wanted)
+                return false;
+        }
+        return open == table.slots.size();
+    }
+    bool until_whole(Seconds most = kWhole) {
+        const Seconds until = net::clock_now() + most;
+        while (net::clock_now() < until) {
+            if (whole()) return true;
+            run(0.1);
+        }
+        return false;
+    }
+    // The member that is home of most slots, or a copy of most.
+    int busiest(bool home) {
+        std::map<Name, int> counts;
+        if (const auto its = table())
+            for (const Seats& seats : its->slots)
+                for (const Name& each : seats.copies)
+                    if (!home || each == seats.home()) ++counts[each];
+        int most = 1;
+        for (const auto& [name, count] : counts)
+            if (count > counts[Name{fmt::format("n{}", most)}]) most = std::stoi(name.value.substr(1));
+        return most;
+    }
+    void lose(int member) {
+        apply("kill", {static_cast<double>(member)});
+        apply("wipe", {static_cast<double>(member)});
+        ++losses;
+    }
+    bool up_throughout(int member, Seconds from, Seconds to) const {
+        const auto& spans = world.members[static_cast<std::size_t>(member)].up;
+        return std::any_of(spans.begin(), spans.end(),
+                           [&](const Span& span) { return from >= span.from + kServes && to < span.to; });
+    }
+    // What did not hold in the whole record of clients and pods.
+    void check() {
+        for (const auto& [key, all] : world.effects.of) twice += all.size() > 1;
+        if (!wish.off)
+            for (const auto& [key, all] : world.effects.of)
+                expect(all.size() < 2, fmt::format("{} took effect {} times", key, all.size()));
+        for (const Wanted& each : clients.wanted)
+            for (const Attempt& one : each.attempts) {
+                expect(one.answers < 2, fmt::format("{}: {} answers to one asking", each.key, one.answers));
+                const Seconds most = clients.limit + kLate;
+                expect(one.took <= most, fmt::format("{}: an answer after {:.2f} s", each.key, one.took));
+                if (one.answers == 0 && up_throughout(one.sidecar + 1, one.at, one.at + most))
+                    expect(false, fmt::format("{}: no answer of n{} within {:.2f} s", each.key,
+                                              one.sidecar + 1, most));
+                if (one.came != Came::succeeded) continue;
+                expect(one.told == "value of " + each.key, fmt::format("{}: another's answer", each.key));
+                expect(world.effects.of.contains(each.key), each.key + " succeeded and took no effect");
+            }
+    }
+    // Whoever had an answer asks once more, elsewhere: the same answer, and nothing more takes effect.
+    void ask_again() {
+        std::vector<std::size_t> had;
+        const Seconds now = net::clock_now();
+        for (std::size_t i = 0; i < clients.wanted.size(); ++i)
+            if (clients.wanted[i].succeeded > now - 0.7 * world.wish.keep_for) had.push_back(i);
+        std::vector<std::size_t> chosen;
+        for (std::size_t i = 0; i < std::min(kAsked, had.size()); ++i)
+            chosen.push_back(had[i * had.size() / std::min(kAsked, had.size())]);
+        std::map<std::size_t, std::size_t> before;
+        for (const std::size_t which : chosen) {
+            const Wanted& its = clients.wanted[which];
+            before[which] = its.attempts.size();
+            int at = (its.attempts.back().sidecar + 1) % wish.members;
+            for (int i = 0;
+                 i < wish.members && !world.members[static_cast<std::size_t>(at) + 1].process->runs(); ++i)
+                at = (at + 1) % wish.members;
+            clients.again(which, at);
+            run(0.005);
+        }
+        run(clients.limit + 0.3);
+        std::size_t missing = 0;
+        for (const std::size_t which : chosen)
+            missing += clients.wanted[which].attempts[before[which]].came != Came::succeeded;
+        asked = chosen.size();
+        expect(missing == 0,
+               fmt::format("{} of {} kept answers are not told at another sidecar", missing, asked));
+    }
+    int holds_lease() { return holder("copies"); }
+
+    const CopiesWish wish;
+    RepeatStand clients;
+    int losses = 0, twice = 0;
+    std::size_t asked = 0;
+};
+
+// --- Scenarios
+// The machine of a sidecar is lost while its charges run at slow pods; its clients ask elsewhere.
+void charge_in_flight(Copies& play) {
+    for (auto& pod : play.world.pods) pod->least = 0.6, pod->most = 0.8;
+    std::vector<std::size_t> charges, instalments;
+    for (int i = 0; i < 10; ++i) {
+        charges.push_back(play.clients.want("charge", 0, false));
+        instalments.push_back(play.clients.want("instalment", 0, false));
+    }
+    play.run(0.3);
+    play.lose(1);
+    for (auto& pod : play.world.pods) pod->least = 0.004, pod->most = 0.012;
+    // Asked elsewhere at once: it may be running; the other sidecar waits until it knows that its claimant is
+    // gone.
+    for (const auto* all : {&charges, &instalments})
+        for (const std::size_t each : *all) play.clients.again(each, 2 + static_cast<int>(each) % 3);
+    play.run(4);
+    for (const auto* all : {&charges, &instalments})
+        for (const std::size_t each : *all) play.clients.again(each, 2 + static_cast<int>(each) % 3);
+    play.run(2);
+    int ended = 0, known = 0;
+    for (const std::size_t each : charges)
+        ended += play.clients.wanted[each].attempts.back().came == Came::terminated;
+    for (const std::size_t each : instalments)
+        known += play.clients.wanted[each].attempts.back().came == Came::succeeded;
+    play.expect(ended == 10, fmt::format("{} of 10 charges that may have run are terminated", ended));
+    play.expect(known == 10, fmt::format("{} of 10 instalments have their answer elsewhere", known));
+    play.apply("start", {1});
+}
+// The home of most is lost, then another, each once the copies are whole again.
+void homes_lost(Copies& play) {
+    for (int i = 0; i < 2; ++i) {
+        const int home = play.busiest(true);
+        play.lose(home);
+        const Seconds from = net::clock_now();
+        play.run(1);
+        play.apply("start", {static_cast<double>(home)});
+        play.expect(play.until_whole(), "the copies are not made again");
+        play.figures.emplace_back("whole again, s", net::clock_now() - from);
+    }
+}
+void place_lost(Copies& play) {
+    // Members i and i + 3 are in one place.
+    play.lose(2), play.lose(5);
+    play.run(2);
+    play.apply("start", {2}), play.apply("start", {5});
+}
+// Between copy one and two: a home reaches one of its copies only, and is lost then.
+void between_copies(Copies& play) {
+    const int home = play.busiest(true);
+    for (int to = 1; to <= 3; ++to)
+        if (to != home) play.apply("cut", {static_cast<double>(home), static_cast<double>(to)});
+    play.run(0.35);
+    play.lose(home);
+    play.apply("heal");
+    play.run(1.5);
+    play.apply("start", {static_cast<double>(home)});
+}
+// Between acknowledging and sending: what the home says does not reach the claimant, which is then lost, or
+// goes on.
+void word_held(Copies& play) {
+    const int home = play.busiest(true);
+    for (const bool lost : {false, true}) {
+        const int claims = home == 1 ? 2 : 1;
+        play.apply("cut", {static_cast<double>(home), static_cast<double>(claims)});
+        for (int i = 0; i < 12; ++i) play.clients.want(i % 2 ? "charge" : "instalment", claims - 1);
+        play.run(lost ? 0.2 : 1.2);
+        if (lost) play.lose(claims);
+        play.apply("heal");
+        play.run(1);
+        if (lost) play.apply("start", {static_cast<double>(claims)});
+        play.until_whole();
+    }
+}
+void slow_links(Copies& play) {
+    play.apply("slow", {static_cast<double>(play.busiest(true)), 3.0});
+    play.run(6);
+    for (int i = 1; i <= play.wish.members; ++i) play.apply("slow", {static_cast<double>(i), 0.0});
+}
+// One stands still while the table moves on without it, and wakes as one that is home no more.
+void stopped_home(Copies& play) {
+    const double home = play.busiest(true);
+    play.apply("stop", {home});
+    play.run(3);
+    play.apply("go", {home});
+    play.run(0.5);
+}
+void rolling_restart(Copies& play) {
+    for (int i = 1; i <= play.wish.members; ++i) {
+        const double one = i;
+        play.apply("term", {one});
+        World::Member& its = play.world.members[static_cast<std::size_t>(i)];
+        play.until(6, [&] { return !its.process->runs(); });
+        play.apply("start", {one});
+        play.run(0.8);
+    }
+}
+// An fsync that fails, a full disk: it holds nothing more, says so, and serves on.
+void bad_disks(Copies& play) {
+    for (const int how : {1, 2}) {
+        const int one = play.busiest(true);
+        play.apply("disk", {static_cast<double>(one), static_cast<double>(how)});
+        play.expect(
+            play.until(
+                6,
+                [&] { return play.world.log_of(one).find("holds nothing any more") != std::string::npos; }),
+            "it does not say that its disk failed");
+        play.run(1.5);
+        const std::size_t which = play.clients.want("charge", one - 1, false);
+        play.run(1.2);
+        play.expect(play.clients.wanted[which].attempts[0].came == Came::succeeded,
+                    "with its disk gone it serves no charges by way of the others");
+        play.apply("disk", {static_cast<double>(one), 0});
+        play.apply("kill", {static_cast<double>(one)});
+        play.apply("start", {static_cast<double>(one)});
+        play.expect(play.until_whole(), "the copies are not made again");
+    }
+}
+// A bit of a row, wherever it stands in the file; some row is there as long as charges come.
+bool flip_a_row(const std::string& path) {
+    std::string whole;
+    {
+        std::ifstream file(path, std::ios::binary);
+        whole.assign(std::istreambuf_iterator<char>(file), {});
+    }
+    const auto at = whole.rfind("value of ");
+    if (at == std::string::npos) return false;
+    std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(static_cast<std::streamoff>(at + 3)).put(static_cast<char>(whole[at + 3] ^ 0x10));
+    return file.good();
+}
+void flipped(Copies& play) {
+    // Found at the start, and found while it serves.
+    const int one = play.busiest(false);
+    const std::string path = play.world.disk_of(one) + "/held.db";
+    play.apply("kill", {static_cast<double>(one)});
+    play.expect(flip_a_row(path), "there is no row to alter");
+    play.apply("start", {static_cast<double>(one)});
+    const auto says = [&](int member) {
+        return play.world.log_of(member).find("was altered on the disk") != std::string::npos;
+    };
+    play.expect(play.until(4, [&] { return says(one); }), "it does not say that a row was altered");
+    play.expect(play.until_whole(), "what was altered is not fetched again");
+    int other = one;
+    for (int i = 1; i <= play.wish.members && other == one; ++i)
+        if (i != one && play.table() && i != one) other = i;
+    play.expect(flip_a_row(play.world.disk_of(other) + "/held.db"), "there is no row to alter");
+    // A row that is written again before it is read back is whole again; another is altered then.
+    play.expect(play.until(15,
+                           [&] {
+                               if (says(other)) return true;
+                               flip_a_row(play.world.disk_of(other) + "/held.db");
+                               return false;
+                           }),
+                "reading back what is held does not find what was altered");
+    play.expect(play.until_whole(), "what was altered is not fetched again");
+}
+// No planner, no steward: what is placed goes on; a lost copy waits for them.
+void no_planners(Copies& play) {
+    for (int p = 1; p <= 3; ++p) play.council.apply({0, "kill", {static_cast<double>(p)}});
+    play.run(1);
+    const std::size_t before = play.clients.wanted.size();
+    play.run(2);
+    std::size_t served = 0, all = 0;
+    for (std::size_t i = before; i + 5 < play.clients.wanted.size(); ++i)
+        ++all, served += play.clients.wanted[i].succeeded > 0;
+    play.expect(all > 10 && served * 10 > all * 9,
+                fmt::format("{} of {} served without planners", served, all));
+    play.lose(play.busiest(true));
+    play.run(1);
+    for (int p = 1; p <= 3; ++p) play.council.apply({0, "start", {static_cast<double>(p)}});
+    play.run(1);
+    for (int i = 1; i <= play.wish.members; ++i) play.apply("start", {static_cast<double>(i)});
+}
+// More is lost than the copies allow: it is said, nothing is taken for known, and an operator's word ends it.
+void too_many(Copies& play) {
+    play.apply("kill", {1}), play.apply("kill", {2});
+    play.expect(play.until(10, [&] { return play.lines("ALARM copies:") > 0; }),
+                "no alarm for slots out of reach");
+    play.run(3);
+    const auto before = play.table();
+    play.expect(before && std::any_of(before->slots.begin(), before->slots.end(),
+                                      [](const Seats& seats) {
+                                          return std::all_of(
+                                              seats.copies.begin(), seats.copies.end(), [](const Name& each) {
+                                                  return each.value == "n1" || each.value == "n2";
+                                              });
+                                      }),
+                "no slot waits for the two that are away");
+    for (const char* name : {"n1", "n2"}) {
+        wire::AskHoldings ask;
+        ask.set_give_up(name);
+        const auto answer = play.ask(ask);
+        play.expect(answer && answer->why().empty(), "an operator can't give a member up");
+    }
+    const auto blind = [&] {
+        const auto its = play.table();
+        return its && std::any_of(its->slots.begin(), its->slots.end(),
+                                  [](const Seats& seats) { return seats.blind > holdings::View{}; });
+    };
+    Seconds until = net::clock_now() + 8;
+    while (net::clock_now() < until && !blind()) play.run(0.1);
+    play.expect(blind(), "what was given up does not begin anew");
+    until = net::clock_now() + play.world.wish.keep_for + 8;
+    while (net::clock_now() < until && blind()) play.run(0.2);
+    play.expect(!blind(), "it stays blind for longer than anything is kept");
+    play.losses += 2;
+    for (const double each : {1.0, 2.0}) play.apply("wipe", {each}), play.apply("start", {each});
+}
+// Two machines one after the other, the second while copies of the first are being made again.
+void lost_in_repair(Copies& play) {
+    const int first = play.busiest(true);
+    play.lose(first);
+    play.run(1.8);  // gone, and repair has begun: it is slow here
+    int second = first % play.wish.members + 1;
+    if (second % 3 == first % 3) second = second % play.wish.members + 1;
+    play.lose(second);
+    play.run(1);
+    play.apply("start", {static_cast<double>(first)}), play.apply("start", {static_cast<double>(second)});
+}
+// A lost machine's sealed epochs, told by the others.
+void epochs_kept(Copies& play) {
+    play.run(1);
+    play.lose(2);
+    play.run(2);
+    wire::AskHoldings ask;
+    ask.set_epochs_of("n2");
+    std::size_t epochs = 0;
+    const Seconds until = net::clock_now() + 8;
+    while (net::clock_now() < until && epochs == 0) {
+        const auto answer = play.ask(ask);
+        if (answer && answer->why().empty()) epochs = static_cast<std::size_t>(answer->epochs_size());
+        play.run(0.2);
+    }
+    play.expect(epochs > 0, "no epochs of a lost machine are told");
+    play.figures.emplace_back("epochs of the lost machine", static_cast<double>(epochs));
+    play.apply("start", {2});
+}
+
+struct Scenario {
+    const char* name;
+    void (*part)(Copies&);
+    int copies = 2;
+    double repair_rate = 2e6, scrub = 3600, keep = 60;
+};
+const std::vector<Scenario> kScenarios = {{"charge-in-flight", charge_in_flight},
+                                          {"homes-lost", homes_lost},
+                                          {"place-lost", place_lost},
+                                          {"between-copies", between_copies, 3},
+                                          {"word-held", word_held},
+                                          {"slow-links", slow_links},
+                                          {"stopped-home", stopped_home},
+                                          {"rolling-restart", rolling_restart},
+                                          {"bad-disks", bad_disks},
+                                          {"flipped", flipped, 2, 2e6, 2},
+                                          {"no-planners", no_planners},
+                                          {"too-many", too_many, 2, 2e6, 3600, 5},
+                                          {"lost-in-repair", lost_in_repair, 3, 2e4},
+                                          {"epochs-kept", epochs_kept}};
+
+// All taken back: copies whole again with nobody's help.
+void settle(Copies& play) {
+    play.apply("heal");
+    for (int i = 1; i <= play.wish.members; ++i) {
+        const double one = i;
+        play.apply("slow", {one, 0.0}), play.apply("go", {one}), play.apply("disk", {one, 0});
+        play.apply("start", {one});
+    }
+    for (int p = 1; p <= 3; ++p) play.council.apply({0, "start", {static_cast<double>(p)}});
+    if (play.wish.off) {
+        play.run(2);
+        play.clients.stop();
+        play.run(play.clients.limit + 0.4);
+        return;
+    }
+    const Seconds from = net::clock_now();
+    play.expect(play.until_whole(), "the copies are not whole at the end");
+    play.figures.emplace_back("whole at the end, s", net::clock_now() - from);
+    play.clients.stop();
+    play.until(play.clients.limit + 0.4, [&] { return play.clients.open() == 0; });
+    play.ask_again();
+}
+template <class Part>
+bool play_one(const std::string& name, const CopiesWish& wish, const Wish& base, Part part, int& losses,
+              int& twice) {
+    const Seconds began = net::clock_now();
+    CopiesWish its = wish;
+    its.council.keep = true;
+    Copies play(its, base);
+    try {
+        play.council.begin();
+        play.world.begin();
+        play.expect(wish.off || play.until_whole(), "the copies are not whole at the start");
+        play.clients.begin(wish.rate);
+        play.run(1);
+        part(play);
+        settle(play);
+        play.check();
+    } catch (const std::exception& error) {
+        play.faults.push_back(error.what());
+    }
+    losses += play.losses, twice += play.twice;
+    std::size_t attempts = 0, succeeded = 0;
+    for (const Wanted& each : play.clients.wanted)
+        attempts += each.attempts.size(), succeeded += each.succeeded > 0;
+    fmt::print(
+        "{:24} {:7} {:5.1f} s; {} invocations, {} askings, {} succeeded; {} machines lost, {} effects too "
+        "many",
+        name, play.faults.empty() ? "holds" : "FAULTS", net::clock_now() - began, play.clients.wanted.size(),
+        attempts, succeeded, play.losses, play.twice);
+    for (const auto& [what, value] : play.figures) fmt::print("; {} {:.2f}", what, value);
+    fmt::print("\n");
+    for (std::size_t i = 0; i < std::min<std::size_t>(8, play.faults.size()); ++i)
+        fmt::print("    {}\n", play.faults[i]);
+    if (!play.faults.empty()) fmt::print("    logs in {} and {}\n", play.world.folder, play.council.folder);
+    for (const std::string& folder : {play.world.folder, play.council.folder})
+        if (play.faults.empty()) std::filesystem::remove_all(folder);
+    std::fflush(stdout);
+    return play.faults.empty();
+}
+
+}  // namespace
+
+bool play_copies(const CopiesWish& wish, const std::string& scenario, int& played) {
+    bool good = true;
+    int losses = 0, twice = 0;
+    for (const Scenario& each : kScenarios) {
+        if (scenario != each.name && scenario != "all") continue;
+        ++played;
+        CopiesWish its = wish;
+        its.copies = each.copies;
+        Wish base = wish_of(its);
+        base.repair_rate = each.repair_rate, base.scrub = each.scrub, base.keep_for = each.keep;
+        good &= play_one(each.name, its, base, each.part, losses, twice);
+    }
+    return good;
+}
+
+bool play_drawn_copies(const CopiesWish& wish, std::uint32_t seed, Seconds length, int& losses, int& twice) {
+    CopiesWish its = wish;
+    its.council.seed = seed;
+    const auto part = [&](Copies& play) {
+        std::ranlux24_base chance(seed);
+        const auto draw = [&](double from, double to) {
+            return from +
+                   (to - from) * static_cast<double>(chance()) / (1.0 + static_cast<double>(chance.max()));
+        };
+        const auto member = [&] { return static_cast<double>(1 + static_cast<int>(draw(0, its.members))); };
+        const Seconds until = net::clock_now() + length;
+        while (net::clock_now() < until) {
+            const double one = member(), other = member();
+            switch (static_cast<int>(draw(0, 8))) {
+                case 0:
+                case 1:
+                case 2: {
+                    // A machine, or both in one place, at any instant, once the copies are whole.
+                    if (!its.off && !play.until_whole(10)) break;
+                    play.run(draw(0, 0.5));
+                    const bool both = draw(0, 1) < 0.3;
+                    const double partner = one > 3 ? one - 3 : one + 3;
+                    play.lose(static_cast<int>(one));
+                    if (both) play.lose(static_cast<int>(partner));
+                    play.run(draw(0.1, 2.5));
+                    play.apply("start", {one});
+                    if (both) play.apply("start", {partner});
+                    break;
+                }
+                case 3:
+                    play.apply("kill", {one});
+                    play.run(draw(0.1, 2));
+                    play.apply("start", {one});
+                    break;
+                case 4:
+                    play.apply("stop", {one});
+                    play.run(draw(0.1, 2.5));
+                    play.apply("go", {one});
+                    break;
+                case 5:
+                    play.apply("cut", {one, other});
+                    if (draw(0, 1) < 0.5) play.apply("cut", {other, one});
+                    play.run(draw(0.1, 2.5));
+                    play.apply("heal");
+                    break;
+                case 6:
+                    play.apply("slow", {one, draw(0.1, 3)});
+                    play.run(draw(0.1, 2.5));
+                    play.apply("slow", {one, 0.0});
+                    break;
+                default:
+                    play.council.apply({0, "kill", {static_cast<double>(1 + static_cast<int>(draw(0, 3)))}});
+                    play.run(draw(0.1, 1));
+                    for (int p = 1; p <= 3; ++p) play.council.apply({0, "start", {static_cast<double>(p)}});
+            }
+            play.run(draw(0, 0.6));
+        }
+    };
+    return play_one(fmt::format("copies{}, seed {}", its.off ? " off" : "", seed), its, wish_of(its), part,
+                    losses, twice);
+}
+
+}  // namespace tideline::rig
--- /dev/null
+++ b/tools/rig/copies.hpp
@@ -0,0 +1,26 @@
+// The rig's part about copies: sidecars that hold for each other, machines lost with their disks, clients
+// that ask again elsewhere.
+#pragma once
+
+#include <string>
+
+#include "rig/council.hpp"
+
+namespace tideline::rig {
+
+struct CopiesWish {
+    CouncilWish council;
+    int members = 6, copies = 2, least = 0;
+    double rate = 20;  // new invocations a second, all sidecars together
+    bool off = false;  // the same with nothing held: what is lost without
+};
+// `scenario`: one of the fixed ones, or all. False where something did not hold; `played` counts them.
+bool play_copies(const CopiesWish& wish, const std::string& scenario, int& played);
+// Faults and machine losses, drawn from the seed; `losses` counts machines lost, `twice` effects too many.
+bool play_drawn_copies(const CopiesWish& wish, std::uint32_t seed, Seconds length, int& losses, int& twice);
+// What a copied charge costs beside one that is not, for 1, 2 and 3 copies.
+void measure_copies(const CopiesWish& wish, Seconds span);
+// How long repair takes by what is held, and what service is meanwhile.
+void measure_repair(const CopiesWish& wish);
+
+}  // namespace tideline::rig
--- a/tools/rig/holder.cpp
+++ b/tools/rig/holder.cpp
@@ -63,7 +63,9 @@
     void lease_lost(const lease::LeaseName&, lease::Fence) override {}
     void alarm_settled(const lease::LeaseName&, const std::string&, bool, bool) override {}
     void standing(const lease::LeaseName&, const std::set<std::string>&) override {}
-    void held_by(const lease::LeaseName&, const lease::Name&, lease::Fence) override {}
+    void held_by(const lease::LeaseName&, const lease::Name&, lease::Fence, std::uint64_t) override {}
+    void written(const lease::LeaseName&, std::uint64_t, bool) override {}
+    void read(const lease::LeaseName&, std::uint64_t, const std::string&) override {}
     void act() {
         const Seconds before = lease::lasting_now();
         const auto fence = tenant_.may_act(kTask);
--- a/tools/rig/main.cpp
+++ b/tools/rig/main.cpp
@@ -11,6 +11,7 @@
 #include "fleet/frame.hpp"
 #include "fleet/wire.hpp"
 #include "rig/check.hpp"
+#include "rig/copies.hpp"
 #include "rig/leases.hpp"
 #include "stand/server.hpp"
 
@@ -392,6 +393,11 @@
     app.add_option("--gaps", gaps, "time without a holder, over so many kills, stops and cuts");
     Seconds grants = 0;
     app.add_option("--grants", grants, "grants a second and fsyncs a grant, so many seconds a row");
+    CopiesWish copies;
+    bool holds = false;
+    app.add_flag("--copies", holds,
+                 "sidecars that hold for each other, machines lost, clients that ask elsewhere");
+    app.add_flag("--off", copies.off, "with --copies and seeds: the same with nothing held");
     CLI11_PARSE(app, argc, argv);
     // What comes with the rig lies beside it.
     const auto beside = std::filesystem::path(argv[0]).parent_path();
@@ -413,6 +419,21 @@
             measure_cost(council);
             return 0;
         }
+        if (holds) {
+            copies.council = council;
+            if (!scenario.empty()) good &= play_copies(copies, scenario, played);
+            int losses = 0, twice = 0;
+            const int drawn_seeds = scenario.empty() ? seeds : 0;
+            for (int i = 0; i < drawn_seeds; ++i, ++played)
+                good &= play_drawn_copies(copies, wish.seed + static_cast<std::uint32_t>(i), length, losses,
+                                          twice);
+            if (drawn_seeds > 0)
+                fmt::print("copies{}: {} machines lost with their disks, {} effects too many\n",
+                           copies.off ? " off" : "", losses, twice);
+            if (played > 0) return good ? 0 : 1;
+            fmt::print(stderr, "tideline_rig: no scenario {}\n", scenario);
+            return 2;
+        }
         if (leases) {
             if (!schedule.empty()) {
                 std::ifstream file(schedule);
--- a/tools/rig/world.hpp
+++ b/tools/rig/world.hpp
@@ -24,13 +24,18 @@
     std::string program = "build/tideline";
     int members = 12;
     std::uint32_t seed = 1;
-    double rate = 15;                   // invocations a second and member
-    bool off = false;                   // without the fleet
-    int narrow = 0;                     // this member takes frames of 16 KB only
-    int filler = 0;                     // draining entries in the list, which make it long
-    bool keep = false;                  // the folder, also where all is well
-    std::vector<std::string> planners;  // their addresses: some tasks are done by one for all
-    double ready_for = 0;               // s: pods that come later are cold for so long; 0: never
+    double rate = 15;                        // invocations a second and member
+    bool off = false;                        // without the fleet
+    int narrow = 0;                          // this member takes frames of 16 KB only
+    int filler = 0;                          // draining entries in the list, which make it long
+    bool keep = false;                       // the folder, also where all is well
+    std::vector<std::string> planners;       // their addresses: some tasks are done by one for all
+    double ready_for = 0;                    // s: pods that come later are cold for so long; 0: never
+    int copies = 0, least = 0;               // what members hold for each other; 0: nothing; least 0: as many
+    double repair_rate = 2e6, scrub = 3600;  // bytes a second; s
+    double keep_for = 60;                    // s that it is held
+    bool alone = false, grouped = true;
+    std::string baddisk;  // loaded before each member: what its disk does (baddisk.cpp)
 };
 
 // The times that the members are told; short, so that a run is.
@@ -67,8 +72,9 @@
     bool all_current(const Seen& seen) const;
     const Seen* newest() const { return seen.empty() ? nullptr : &seen.back(); }
     std::string log_of(int member) const;
-    long memory_of(int member) const;  // KB resident
-    double cpu_of(int member) const;   // s
+    std::string disk_of(int member) const;  // its folder
+    long memory_of(int member) const;       // KB resident
+    double cpu_of(int member) const;        // s
     std::size_t descriptors_of(int member) const;
 
     struct Member {
@@ -86,6 +92,7 @@
     stand::ListStand list;
     stand::PlatformStand platform;
     std::vector<std::unique_ptr<stand::PodStand>> pods;
+    stand::Effects effects;
     std::vector<Member> members;  // [0] is not used
     Relay relay;
     std::vector<Seen> seen;
--- /dev/null
+++ b/tools/stand/caller.hpp
@@ -0,0 +1,30 @@
+// One connection of a stand-in client to a sidecar: a statement at a time, and what came of it.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "net/link.hpp"
+
+namespace tideline::stand {
+
+enum class Came { nothing, succeeded, throttled, terminated, wrong };
+
+class Caller : public net::Link {
+  public:
+    // `answered`: with the value, or the come-back time as it was written; may come more than once, which is
+    // a fault.
+    using Answered = std::function<void(Came came, const std::string& told)>;
+    Caller(net::Loop& loop, const net::Address& sidecar, std::function<void(Caller*)> ended);
+    bool idle() const { return !busy_ && !closed(); }
+    void ask(const std::string& statement, Answered answered);
+
+  private:
+    void came_in() override;
+    void ended() override { ended_(this); }
+    std::function<void(Caller*)> ended_;
+    Answered answered_;
+    bool busy_ = false, has_answer_ = false;
+};
+
+}  // namespace tideline::stand
--- a/tools/stand/client.hpp
+++ b/tools/stand/client.hpp
@@ -6,12 +6,10 @@
 #include <string>
 #include <vector>
 
-#include "net/link.hpp"
-#include "words.hpp"
+#include "stand/caller.hpp"
 
 namespace tideline::stand {
 
-enum class Came { nothing, succeeded, throttled, terminated, wrong };
 struct Asked {
     Seconds at = 0, took = 0, limit = 0;
     Came came = Came::nothing;
@@ -30,15 +28,14 @@
     Seconds limit = 1.5;  // s: the time limit told
 
   private:
-    class Connection;
     void next();
     void send();
-    void drop(Connection* which);
+    void drop(Caller* which);
     net::Loop& loop_;
     const net::Address sidecar_;
     const std::string customer_;
     std::ranlux24_base chance_;
-    std::vector<std::unique_ptr<Connection>> links_;
+    std::vector<std::unique_ptr<Caller>> links_;
     double rate_ = 0;
     net::Due::Key next_ = net::Due::kNone;
 };
--- a/tools/stand/pod.cpp
+++ b/tools/stand/pod.cpp
@@ -42,15 +42,18 @@
         return true;
     }
     void run(std::string_view body) {
-        Ran ran{net::clock_now(), {}, {}, {}};
+        Ran ran{net::clock_now(), {}, {}, {}, {}};
         pg::statement(body.substr(0, body.size() - 1), [&](std::string_view name, std::string_view value) {
             if (name == "id") ran.inv = value;
             if (name == "c") ran.op = value;
             if (name == "t") ran.customer = value;
+            if (name == "k") ran.key = value;
         });
-        const std::string value = "value of " + ran.inv;
+        const std::string value = "value of " + (ran.key.empty() ? ran.inv : ran.key);
         pod_.ran.push_back(std::move(ran));
         const bool fails = pod_.draw() < pod_.failing;
+        if (pod_.effects && !pod_.ran.back().key.empty())
+            pod_.effects->ran(pod_.ran.back().op, pod_.ran.back().key, net::clock_now());
         answer_ = loop_.due.at(net::clock_now() + pod_.least + (pod_.most - pod_.least) * pod_.draw(),
                                [this, value, fails] {
                                    answer_ = net::Due::kNone;
@@ -71,6 +74,11 @@
     net::Due::Key answer_ = net::Due::kNone;
 };
 
+void Effects::ran(const std::string& op, const std::string& key, Seconds now) {
+    std::vector<Seconds>& all = of[key];
+    if (!repeatable.contains(op) || all.empty() || now > all.back() + window) all.push_back(now);
+}
+
 PodStand::PodStand(net::Loop& loop, std::uint32_t seed)
     : server_(std::make_unique<Server<Connection, PodStand>>(loop, *this)), chance_(seed) {}
 PodStand::~PodStand() = default;
--- a/tools/stand/pod.hpp
+++ b/tools/stand/pod.hpp
@@ -1,7 +1,9 @@
 // A stand-in for a pod: speaks PostgreSQL's protocol, serves after a while, keeps what it ran.
 #pragma once
 
+#include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -10,11 +12,19 @@
 
 namespace tideline::stand {
 
+// What took effect, over all pods together: of a fingerprint, each time it ran as if for the first time.
+struct Effects {
+    std::map<std::string, std::vector<Seconds>> of;
+    std::set<std::string> repeatable;  // operations whose repeats pods tell by the fingerprint
+    Seconds window = 2;                // for so long
+    void ran(const std::string& op, const std::string& key, Seconds now);
+};
 struct Ran {  // a dispatch that arrived whole
     Seconds at = 0;
     std::string inv;  // its id in the statement
     std::string op;
     std::string customer;  // rigs name the sidecar there
+    std::string key;       // the fingerprint
 };
 
 class PodStand {
@@ -28,6 +38,7 @@
     Seconds least = 0.004, most = 0.012;  // how long an answer takes
     double failing = 0;                   // share of dispatches that end in an error
     std::vector<Ran> ran;
+    Effects* effects = nullptr;  // where they are written down, of what has a fingerprint
 
   private:
     class Connection;
--- /dev/null
+++ b/tools/stand/repeater.hpp
@@ -0,0 +1,65 @@
+// Stand-in clients of a whole fleet that ask for what must not run twice, and ask again elsewhere until they
+// know: each asking has a new id, all of one invocation the same fingerprint.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "stand/caller.hpp"
+
+namespace tideline::stand {
+
+struct Attempt {
+    int sidecar = 0;
+    Seconds at = 0, took = 0;
+    Came came = Came::nothing;
+    int answers = 0;
+    std::string told;
+};
+struct Wanted {
+    std::string key, op;
+    std::vector<Attempt> attempts;
+    bool over = false;      // its client asks no more
+    Seconds succeeded = 0;  // when its client first heard so; 0: never
+};
+
+class RepeatStand {
+  public:
+    // `operations`: drawn from for each.
+    RepeatStand(net::Loop& loop, std::vector<net::Address> sidecars, std::vector<std::string> operations,
+                std::uint32_t seed);
+    ~RepeatStand();
+    void begin(double rate);  // new invocations a second
+    void stop();              // no new ones, no further repeats
+    // One invocation at that sidecar, or a repeat of it; from 0.
+    std::size_t want(const std::string& op, int sidecar, bool repeats = true);
+    void again(std::size_t which, int sidecar);
+    std::size_t open() const;  // askings without an answer whose time is not over
+
+    std::vector<Wanted> wanted;
+    Seconds limit = 1.5;    // s: the time limit told
+    int attempts_most = 8;  // of one invocation
+    double unsure = 0.2;    // share of those succeeded that are asked for again all the same
+
+  private:
+    void next();
+    void later(std::size_t which, Seconds after);
+    double draw(double from, double to);
+    net::Loop& loop_;
+    const std::vector<net::Address> sidecars_;
+    const std::vector<std::string> operations_;
+    std::ranlux24_base chance_;
+    const std::string name_;
+    std::map<int, std::vector<std::unique_ptr<Caller>>> links_;
+    std::vector<bool> repeats_;
+    double rate_ = 0;
+    bool stopped_ = false;
+    net::Due::Key next_ = net::Due::kNone;
+    // What is put off is dropped with this stand-in.
+    std::shared_ptr<bool> here_ = std::make_shared<bool>(true);
+};
+
+}  // namespace tideline::stand
--- a/tools/stand/slips.hpp
+++ b/tools/stand/slips.hpp
@@ -6,7 +6,8 @@
 
 namespace tideline::stand {
 
-// Two operations, read (idempotent) and charge (side-effecting); votes move the stages.
+// Three operations, read (idempotent), charge (side-effecting) and instalment (fingerprinted); votes move the
+// stages.
 inline nlohmann::json settings(int sidecars) {
     const auto op = [](const char* name, const char* effect) {
         return nlohmann::json{
@@ -15,7 +16,7 @@
     };
     return {{"areas", {"a"}},
             {"replicasOfMe", sidecars},
-            {"classes", {op("read", "free"), op("charge", "single_shot")}},
+            {"classes", {op("read", "free"), op("charge", "single_shot"), op("instalment", "guarded")}},
             {"ceilings",
              {{"connectTimeoutUs", 400000},
               {"keepaliveUs", 30000000},
