--- a/src/cli/holdings.cpp
+++ b/src/cli/holdings.cpp
@@ -133,6 +133,12 @@
     for (const auto& [name, report] : reports)
         if (report) to_send += report->to_send(), bytes += report->bytes(), records += report->records();
     const double each = records > 0 ? static_cast<double>(bytes) / static_cast<double>(records) : 0;
+    // As long as the one that has most to send takes at its rate.
+    double repair_for = 0;
+    for (const auto& [name, report] : reports)
+        if (report && report->repair_rate() > 0)
+            repair_for =
+                std::max(repair_for, each * static_cast<double>(report->to_send()) / report->repair_rate());
     if (wish.json) {
         ordered_json all = {{"asked", answer.asked()},
                             {"steward", answer.steward()},
@@ -146,7 +152,8 @@
                             {"blind", counted.blind},
                             {"joining", counted.joining},
                             {"to_send", to_send},
-                            {"to_send_bytes", each * static_cast<double>(to_send)}};
+                            {"to_send_bytes", each * static_cast<double>(to_send)},
+                            {"repair_for", repair_for}};
         for (const auto& [name, report] : reports) {
             ordered_json one = {{"member", name.value}, {"reported", report != nullptr}};
             if (report) {
@@ -182,8 +189,8 @@
         fmt::print("whole {}, with fewer copies {}, out of reach {}, blind {}; being brought up {}",
                    counted.whole, counted.few, counted.lost, counted.blind, counted.joining);
         if (to_send > 0)
-            fmt::print(", {} records to send, about {:.1f} MB", to_send,
-                       each * static_cast<double>(to_send) / 1e6);
+            fmt::print(", {} records to send, about {:.1f} MB and {:.1f} s", to_send,
+                       each * static_cast<double>(to_send) / 1e6, repair_for);
         fmt::print("\n{:12} {:>8} {:>9} {:>6} {:>6} {:>8} {:>9} {:>8} {:>9} {:>9}\n", "member", "records",
                    "KB", "homes", "open", "to send", "granted", "repeats", "throttled", "uncopied");
         for (const auto& [name, report] : reports) {
--- a/src/fleet/trustee.cpp
+++ b/src/fleet/trustee.cpp
@@ -236,6 +236,7 @@
     holdings::put(report, claims_.silent(lasting_now()), word);
     word.set_granted(claims_.granted()), word.set_uncopied(claims_.uncopied());
     word.set_throttled(claims_.throttled()), word.set_repeats(claims_.repeats());
+    word.set_repair_rate(terms_.keeper.repair_rate);
     return word;
 }
 void Trustee::report_to(const Name& to, std::uint64_t no) {
