--- a/tests/holdings.cpp
+++ b/tests/holdings.cpp
@@ -241,6 +241,29 @@
     CHECK(says.acks.empty());
     CHECK(says.refusals == std::vector<std::string>{"a"});
 }
+TEST_CASE("a late acknowledgement to a former life fits no number of this one") {
+    KeeperSays before, after;
+    Found again;
+    again.starts = 2;
+    Keeper one(before, {}, kA, Disk{1}, {}, 10), two(after, {}, kA, Disk{1}, again, 10);
+    one.table_told(10, table_of(1, {kA, kB}));
+    two.table_told(10, table_of(1, {kA, kB}));
+    REQUIRE(before.compares.size() == 1);
+    CHECK(before.compares != after.compares);
+}
+TEST_CASE("whoever was told of as brought up is waited for, however long it takes") {
+    Home home(1);
+    Table table = table_of(2, {kA}, 1);
+    table.slots[0].joining = {kC};
+    home.keeper.table_told(12, table);
+    home.keeper.stored(12, home.says.last);
+    home.keeper.differs_told(12, kC, home.says.compares.back().second, {}, {});
+    REQUIRE(home.keeper.report(12).synced.size() == 1);
+    home.keeper.claim(12, kB, AskNo{1}, kKey, 5, try_by(kB, 1), {});
+    home.keeper.stored(12, home.says.last);
+    home.keeper.tick(15);
+    CHECK(home.says.replies.empty());
+}
 TEST_CASE("another's disk under a known name holds nothing") {
     KeeperSays says;
     Keeper copy(says, {}, kB, Disk{99}, {}, 10);
@@ -420,14 +443,15 @@
     void clear(const std::string& key) override { standing.erase(key); }
 };
 struct Stewarding {
-    explicit Stewarding(const Table& table) : steward(says, terms()), its(table) {
+    explicit Stewarding(const Table& table, std::size_t least = 2) : steward(says, terms(least)), its(table) {
         for (const Name& each : {kA, kB, kC}) steward.member_is(100, each, Life{1}, Place{each.value}, true);
         steward.held(100, table);
         now = 110;
         hear();
     }
-    static StewardTerms terms() {
+    static StewardTerms terms(std::size_t least = 2) {
         StewardTerms terms;
+        terms.least = least;
         terms.slots = 1, terms.absent = 30, terms.every = 0.1;
         return terms;
     }
@@ -516,6 +540,14 @@
     CHECK(after.disks.at(kB) == Disk{2});
     CHECK(after.slots[0].holds(kB));
 }
+TEST_CASE("one that came back and has not said which disk it has is counted on by nobody") {
+    Table table = table_of(1, {kA, kB}, 1);
+    Stewarding it(table, 1);
+    it.steward.member_is(it.now, kB, Life{5}, Place{"b"}, true);
+    it.steward.member_is(it.now, kA, Life{1}, Place{"a"}, false);
+    it.steward.tick(it.now);
+    CHECK((!it.says.proposed || it.says.proposed->slots[0].holds(kA)));
+}
 TEST_CASE("a home that complains of all others is the one that hears nothing") {
     Table table = table_of(1, {kA, kB, kC});
     table.wanted = 3, table.least = 2;
