Searches, drawn splits and what is free of a keeper each stand once; dead state goes

Cause: reading the whole change again. The worlds of holders had a second copy of the loops that bring a beginning about, virtual time a second copy of a drawn split, the keeper the same loop twice, the world of holders state nobody read.

Change: settle and bring_about in worlds/search.hpp, Driver::split, Keeper::settle_free; the dead state is gone. Behaviour as it was: the draws come in the same order, no check was touched.

--- a/src/holdings/keeper.cpp
+++ b/src/holdings/keeper.cpp
@@ -397,6 +397,13 @@
     serve_queued(now, op.slot, op.key);
 }
 
+void Keeper::settle_free(Seconds now) {
+    std::vector<OpNo> free;
+    for (const auto& [no, op] : ops_)
+        if (op.waits.empty() && op.stores <= stored_) free.push_back(no);
+    for (const OpNo no : free) settle_op(now, no);
+}
+
 // --- Bringing copies up
 void Keeper::compare(Seconds now, Slot slot, Shelf& shelf, const Name& with) {
     Sync& sync = shelf.syncs[with];
@@ -578,10 +585,7 @@
     now_ = now;
     stored_ = std::max(stored_, up_to);
     release();
-    std::vector<OpNo> free;
-    for (const auto& [no, op] : ops_)
-        if (op.waits.empty() && op.stores <= stored_) free.push_back(no);
-    for (const OpNo no : free) settle_op(now, no);
+    settle_free(now);
 }
 void Keeper::rotted(Seconds now, Slot slot) {
     now_ = now;
@@ -636,10 +640,7 @@
             }
         }
     }
-    std::vector<OpNo> free;
-    for (const auto& [no, op] : ops_)
-        if (op.waits.empty() && op.stores <= stored_) free.push_back(no);
-    for (const OpNo no : free) settle_op(now, no);
+    settle_free(now);
     expire(now);
     bool waits = !ops_.empty();
     for (const auto& [slot, shelf] : shelves_)
--- a/src/holdings/keeper.hpp
+++ b/src/holdings/keeper.hpp
@@ -176,6 +176,7 @@
     OpNo begin(Seconds now, Shelf& shelf, Op op);
     void send(Seconds now, OpNo no, Op& op);
     void settle_op(Seconds now, OpNo no);
+    void settle_free(Seconds now);  // all that waits for nobody any more
     void drop_ops(Slot slot, Shelf& shelf);
     void answer_queued(Shelf& shelf, Reply what);
     void compare(Seconds now, Slot slot, Shelf& shelf, const Name& with);
--- a/tools/holders/world.cpp
+++ b/tools/holders/world.cpp
@@ -41,8 +41,6 @@
           last_(other.last_),
           invs_(other.invs_),
           last_inv_(other.last_inv_),
-          believes_(other.believes_),
-          wants_(other.wants_),
           life_(other.life_) {
         if (other.keeper) keeper = std::make_unique<Keeper>(*other.keeper, static_cast<KeeperHost&>(*this));
         if (other.claims) claims = std::make_unique<Claims>(*other.claims, static_cast<ClaimsHost&>(*this));
@@ -72,7 +70,6 @@
         for (const auto& [inv, its] : invs_) world_->end(at_, inv, Ended::lost);
         invs_.clear();
         keeper.reset(), claims.reset(), steward.reset();
-        believes_ = false;
     }
     void wipe() {
         disk_.value += 1;
@@ -141,10 +138,7 @@
     void store_number(StoreNo no, View number) override {
         pending_.push_back({no, {}, {}, {}, number, false});
     }
-    void want_table(View least) override {
-        wants_ = std::max(wants_, least);
-        world_->send(at_, world_->members(), "W");
-    }
+    void want_table(View) override { world_->send(at_, world_->members(), "W"); }
     void note(const std::string&) override {}
     void reply(const Name& to, AskNo no, Reply what, View number, const Record* record) override {
         if (what == Reply::granted && record)
@@ -249,7 +243,6 @@
         holdings::hear(now, name_of(from), word, *keeper, *claims);
     }
     void believe(bool is) {
-        believes_ = is;
         if (is && !steward->holds()) {
             steward->held(world_->now_, keeper->table());
             want_table({});
@@ -302,8 +295,6 @@
     StoreNo last_;
     std::map<InvId, Inv> invs_;
     std::uint64_t last_inv_ = 0;
-    bool believes_ = false;
-    View wants_;
     std::uint64_t life_ = 0;
 };
 
--- a/tools/rig/copies_play.hpp
+++ b/tools/rig/copies_play.hpp
@@ -198,7 +198,6 @@
         expect(missing == 0, fmt::format("{} of {} kept answers are not told at another sidecar:{}", missing,
                                          asked, which_ones));
     }
-    int holds_lease() { return holder("copies"); }
 
     const CopiesWish wish;
     stand::RepeatStand clients;
--- a/tools/virtual/driver.hpp
+++ b/tools/virtual/driver.hpp
@@ -86,6 +86,14 @@
         else
             cuts_.erase({from, to});
     }
+    // Two sides, drawn, that hear nothing of each other.
+    void split(double share) {
+        std::vector<bool> side(static_cast<std::size_t>(world.nodes()));
+        for (std::size_t i = 0; i < side.size(); ++i) side[i] = draw(0, 1) < share;
+        for (int a = 0; a < world.nodes(); ++a)
+            for (int b = 0; b < world.nodes(); ++b)
+                if (side[static_cast<std::size_t>(a)] != side[static_cast<std::size_t>(b)]) cut(a, b, true);
+    }
     void heal() { cuts_.clear(); }
     bool is_cut(int from, int to) const { return cuts_.contains({from, to}); }
     void delay(int node, double by) { delays_[static_cast<std::size_t>(node)] = by; }
--- a/tools/virtual/holders.cpp
+++ b/tools/virtual/holders.cpp
@@ -221,13 +221,8 @@
                       [&, one, other] { run.cut(one, other, false), run.cut(other, one, false); });
                 break;
             case 8: {
-                std::vector<bool> side(static_cast<std::size_t>(world.nodes()));
-                for (std::size_t i = 0; i < side.size(); ++i) side[i] = run.draw(0, 1) < 0.4;
                 tell("split");
-                for (int a = 0; a < world.nodes(); ++a)
-                    for (int b = 0; b < world.nodes(); ++b)
-                        if (side[static_cast<std::size_t>(a)] != side[static_cast<std::size_t>(b)])
-                            run.cut(a, b, true);
+                run.split(0.4);
                 later(until, "heal", [&] { run.heal(); });
                 break;
             }
--- a/tools/worlds/holders.cpp
+++ b/tools/worlds/holders.cpp
@@ -87,7 +87,6 @@
                                   left.repeats, left.looks, left.deaths, left.losses, left.steps);
     }
     std::string fault(const World&) const { return holders.fault(); }
-    bool settle(Search<World>& search, const std::set<std::string>& but);
 
     Holders holders;
     std::multiset<HolderWord> flying;
@@ -180,38 +179,6 @@
         });
     return events;
 }
-bool World::settle(Search<World>& search, const std::set<std::string>& but) {
-    for (;;) {
-        std::string next;
-        for (const auto& event : events()) {
-            const std::string& text = event.text;
-            const bool moves = text.find(" to ") != std::string::npos || text.ends_with(" has stored");
-            const bool kept = std::any_of(but.begin(), but.end(), [&](const std::string& node) {
-                return text.starts_with(node + " ") || text.find(" to " + node + ":") != std::string::npos;
-            });
-            if (!moves || kept || text.ends_with("and again later")) continue;
-            next = text;
-            break;
-        }
-        if (next.empty()) return true;
-        if (!search.happens(*this, next)) return false;
-    }
-}
-bool run(World& world, Search<World>& search, const std::vector<std::string>& events) {
-    for (const std::string& text : events) {
-        if (!text.starts_with("settle")) {
-            if (!search.happens(world, text)) return false;
-            continue;
-        }
-        std::istringstream words(text);
-        std::set<std::string> but;
-        for (std::string word; words >> word;)
-            if (word != "settle" && word != "but") but.insert(word);
-        if (!world.settle(search, but)) return false;
-    }
-    return true;
-}
-
 const HolderBudgets kPlenty{9, 9, 9, 0, 9, 9, 9, 9};  // while a beginning is brought about
 
 }  // namespace
@@ -269,7 +236,7 @@
     Search<World> search(most);
     World world(beginning.copies);
     world.left = kPlenty;
-    if (!run(world, search, beginning.events)) return search.found(false);
+    if (!bring_about(world, search, beginning.events)) return search.found(false);
     world.left = beginning.budgets;
     return search.found(search.from(world, depth));
 }
--- a/tools/worlds/leases.cpp
+++ b/tools/worlds/leases.cpp
@@ -77,9 +77,6 @@
                                   left.wipes, left.steps, left.repeats, left.wishes);
     }
     std::string fault(const World&) const { return council.fault(); }
-    // Everything that is on its way or is to be stored, but for what goes to or comes from those.
-    bool settle(Search<World>& search, const std::set<std::string>& but);
-
     Council council;
     std::multiset<Sent> flying;
     Budgets left;
@@ -154,41 +151,6 @@
     return events;
 }
 
-bool World::settle(Search<World>& search, const std::set<std::string>& but) {
-    for (;;) {
-        std::string next;
-        for (const auto& event : events()) {
-            const std::string& text = event.text;
-            const bool moves = text.find(" to ") != std::string::npos || text.ends_with(" has stored");
-            const bool kept = std::any_of(but.begin(), but.end(), [&](const std::string& each) {
-                // ">m3": only what goes to it.
-                const std::string node = each.front() == '>' ? each.substr(1) : each;
-                return (node == each && text.starts_with(node + " ")) ||
-                       text.find(" to " + node + ":") != std::string::npos;
-            });
-            if (!moves || kept || text.ends_with("and again later")) continue;
-            next = text;
-            break;
-        }
-        if (next.empty()) return true;
-        if (!search.happens(*this, next)) return false;
-    }
-}
-bool run(World& world, Search<World>& search, const std::vector<std::string>& events) {
-    for (const std::string& text : events) {
-        if (!text.starts_with("settle")) {
-            if (!search.happens(world, text)) return false;
-            continue;
-        }
-        std::istringstream words(text);
-        std::set<std::string> but;
-        for (std::string word; words >> word;)
-            if (word != "settle" && word != "but") but.insert(word);
-        if (!world.settle(search, but)) return false;
-    }
-    return true;
-}
-
 const Budgets kPlenty{9, 9, 9, 9, 9, 0, 9, 3};  // while a beginning is brought about
 
 }  // namespace
@@ -316,7 +278,7 @@
     Search<World> search(most);
     World world(beginning.batch);
     world.left = kPlenty;
-    if (!run(world, search, beginning.events)) return search.found(false);
+    if (!bring_about(world, search, beginning.events)) return search.found(false);
     world.left = beginning.budgets;
     return search.found(search.from(world, depth));
 }
--- a/tools/worlds/search.hpp
+++ b/tools/worlds/search.hpp
@@ -11,6 +11,8 @@
 #include <algorithm>
 #include <atomic>
 #include <functional>
+#include <set>
+#include <sstream>
 #include <stdexcept>
 #include <string>
 #include <unordered_map>
@@ -93,4 +95,43 @@
     std::vector<std::string> way_;
 };
 
+// Everything that is on its way or is to be stored happens, but for what goes to or comes from those ("n1";
+// ">n1": only what goes to it). False once something did not hold.
+template <class World>
+bool settle(World& world, Search<World>& search, const std::set<std::string>& but) {
+    for (;;) {
+        std::string next;
+        for (const auto& event : world.events()) {
+            const std::string& text = event.text;
+            const bool moves = text.find(" to ") != std::string::npos || text.ends_with(" has stored");
+            const bool kept = std::any_of(but.begin(), but.end(), [&](const std::string& each) {
+                const std::string node = each.front() == '>' ? each.substr(1) : each;
+                return (node == each && text.starts_with(node + " ")) ||
+                       text.find(" to " + node + ":") != std::string::npos;
+            });
+            if (!moves || kept || text.ends_with("and again later")) continue;
+            next = text;
+            break;
+        }
+        if (next.empty()) return true;
+        if (!search.happens(world, next)) return false;
+    }
+}
+// A beginning: events by their texts, or "settle", or "settle but n1 >n2".
+template <class World>
+bool bring_about(World& world, Search<World>& search, const std::vector<std::string>& events) {
+    for (const std::string& text : events) {
+        if (!text.starts_with("settle")) {
+            if (!search.happens(world, text)) return false;
+            continue;
+        }
+        std::istringstream words(text);
+        std::set<std::string> but;
+        for (std::string word; words >> word;)
+            if (word != "settle" && word != "but") but.insert(word);
+        if (!settle(world, search, but)) return false;
+    }
+    return true;
+}
+
 }  // namespace tideline::worlds
