A lost list costs one call, the watch, no longer a second one for the whole list

Ruled out: silence of watches (no 'silent' line in any log), the routing (the pods were Ready in the list that the sidecar had), time-outs of ours (each refusal came 2 to 6 ms after the call). At fault: Choice::Desk::lost and ask_for_list: from the second loss on each retry was a call for the whole list and one for the watch. The service works through calls one after another and a whole list costs it several watches, so the retries of all kept each other out. Change: the watch alone is asked for. It begins with what was missed or with the whole list, so the other call brought nothing.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -184,7 +184,6 @@
     bool vote_open = false;
 
     Seconds ask_at = kNever, ask_wait = kAskAgain, next_beat = kNever;
-    bool ask_whole = false;
 
     Desk(Host& h, const Terms& t, std::uint64_t seed, Seconds at)
         : host(h), terms(t), chance(static_cast<std::uint32_t>(seed ^ (seed >> 32))), start(at), now(at) {
@@ -772,7 +771,6 @@
     void ask_for_list() {
         if (ask_at == kNever || now < ask_at) return;
         ask_at = kNever;
-        if (ask_whole) host.fetch_list();
         host.follow_list();
     }
 
@@ -816,13 +814,14 @@
         std::size_t ready = 0;
         for (const auto& [id, pod] : pods) ready += pod.line.state == PodState::ready;
         most_ready = std::max(most_ready, ready);
-        if (kind != ListKind::warm_copy) ask_wait = kAskAgain, ask_whole = false;
+        if (kind != ListKind::warm_copy) ask_wait = kAskAgain;
         serve_waiting();
     }
-    // Danger: without a watch we count as told of changes we never saw. Ask again, the second time for all.
+    // Danger: without a watch we count as told of changes we never saw. So it is asked for again, and nothing
+    // beside it: it begins with what was missed, or else with all, and whoever tells the list has many
+    // callers. A second call for the whole list keeps them from getting through just when they need to.
     void lost() {
         ask_at = now + ask_wait * draw(0.5, 1);
-        ask_whole = ask_wait > kAskAgain;
         ask_wait = std::min(kAskMost, 2 * ask_wait);
     }
 
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -18,8 +18,7 @@
     virtual void throttle(InvId inv, Seconds come_back) = 0;  // 0: no advice
     virtual void terminate(InvId inv) = 0;
     virtual void probe(const PodId& pod) = 0;
-    virtual void follow_list() = 0;
-    virtual void fetch_list() = 0;
+    virtual void follow_list() = 0;  // what was missed comes first, or else the whole list
     virtual void vote(Build build, Stage stage, Vote vote) = 0;
     virtual void alarm(Seconds after, AlarmId alarm) = 0;
     virtual void marked(Build, Stage) {}  // the build is held to be bad; what is noted says why
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -30,7 +30,6 @@
       owner_(owner),
       terms_(terms),
       address_(address),
-      fetch_(loop, address),
       watches_{Call(loop, address), Call(loop, address)} {
     read_revision(known);
 }
@@ -116,7 +115,7 @@
 void List::move(Address address) {
     if (address == address_) return;
     address_ = address, pause_ = kReopenFirst;
-    for (Call* call : {&fetch_, &watches_[0], &watches_[1]}) call->move(address);
+    for (Call& call : watches_) call.move(address);
     if (watches_[standing_].open()) watch(1 - standing_);
 }
 void List::lost(int which, const std::string& why) {
@@ -131,16 +130,4 @@
     }
 }
 
-void List::fetch() {
-    fetched_.clear();
-    fetch_.begin("/v1/servers", kListSilence, kListSilence,
-                 {[this](const std::string& line) { fetched_ += line; },
-                  [this] {
-                      fetch_.drop();
-                      const json list = json::parse(fetched_, nullptr, false);
-                      if (list.is_discarded() || !read(list, false)) owner_.list_lost("call: no list");
-                  },
-                  [this](const std::string& why) { owner_.list_lost("call: " + why); }});
-}
-
 }  // namespace tideline::net
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -1,4 +1,4 @@
-// The list of pods: asked for once, or watched. It tells what came, and when an asking or the watch was lost.
+// The list of pods: watched. It tells what came, and when the watch was lost.
 #pragma once
 
 #include <algorithm>
@@ -29,7 +29,6 @@
 
     // False where it is no list, or a change in it makes no sense; what does is taken all the same.
     bool read(const nlohmann::json& list, bool first_copy);
-    void fetch();
     void follow();
     std::int64_t revision() const { return revision_; }
     void handed(std::int64_t revision) {
@@ -47,12 +46,10 @@
     const Terms& terms_;
     Address address_;
     std::int64_t revision_ = 0;
-    Call fetch_;
     Call watches_[2];  // the one that stands, and after a move the one that is to follow it
     int standing_ = 0;
     Seconds pause_ = kReopenFirst;
     Due::Key again_ = Due::kNone;
-    std::string fetched_;
 };
 
 }  // namespace tideline::net
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -67,7 +67,6 @@
     void terminate(InvId inv) override;
     void probe(const PodId& pod) override { pods_.probe(pod); }
     void follow_list() override { list_.follow(); }
-    void fetch_list() override { list_.fetch(); }
     void vote(Build build, Stage stage, Vote vote) override;
     void marked(Build build, Stage stage) override;
     void alarm(Seconds after, AlarmId alarm) override;
