The list is read by objects, indented or not; one that lags brings no ended pod back

A watch was cut into lines and each parsed alone, so an indented change lost the watch, which was asked for again and lost again (socket test: no pod of the change was ever used, the watch reopened for ever). By reading, each confirmed by a test in tests/listing.cpp: a whole list older than what was told (two watches after a move, one lagging) brought a draining pod back as ready; an entry that could not be read made its pod count as gone in a whole list, and in a change a pod told as Terminating with another field spoilt went on getting work; such an entry, told again and again, had the watch reopened for ever. At fault: net/call.cpp with Lines; List::read. Change: net/objects cuts a stream into JSON objects however they are laid out and is broken by the first byte that can't go on; one that is cut off is given up after 2 s. net/listing holds what was told and decides what a further telling makes of it: no I/O, no clock. An older telling moves no pod of the same start and build back; an entry that makes no sense leaves its pod as it was, but for an end that is told, and is asked for again once. A deadline of a call that has ended no longer ends the next one in the same pass. Tests: tests/listing.cpp, parsers (objects split at every byte), sockets (indented, several on a line; cut off); the indented one fails on the program before.

--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/core.h>
 
+#include "net/objects.hpp"
+
 namespace tideline::net {
 
 class Call::Stream : public Link, HttpReader::Taker {
@@ -11,7 +13,10 @@
         wait(kPeerConnect, "no connection");
         open(call.address_);
     }
-    ~Stream() override { loop_.due.cancel(limit_); }
+    ~Stream() override {
+        loop_.due.cancel(limit_);
+        loop_.due.cancel(whole_by_);
+    }
 
   protected:
     void came_up() override {
@@ -37,15 +42,26 @@
     }
     void body(std::string_view bytes) override {
         if (!lost_.empty()) return;
-        const bool fits = lines_.add(bytes, kLineMost, [&](const std::string& line) {
+        const auto read = objects_.add(bytes, kObjectMost, [&](const std::string& text) {
             if (closed()) return;
             call_.spoke_ = true;
-            call_.told_.line(line);
+            loop_.due.cancel(whole_by_);
+            call_.told_.object(text);
         });
-        if (!fits) lost_ = "endless line";
+        if (closed()) return;
+        if (read == Objects::Read::broken) lost_ = "what can't be read";
+        if (read == Objects::Read::endless) lost_ = "endless object";
+        // Danger: one that was cut off is waited for in vain, and signs of life go on behind it.
+        if (!objects_.within())
+            loop_.due.cancel(whole_by_);
+        else if (whole_by_ == Due::kNone)
+            whole_by_ = loop_.due.at(clock_now() + kObjectWithin, [this] {
+                whole_by_ = Due::kNone;
+                if (!closed()) call_.lose("half an object");
+            });
     }
     void end() override {
-        body("\n");  // a last line without its end
+        if (objects_.within()) lost_ = "half an object";
         whole_ = true;
     }
 
@@ -54,17 +70,17 @@
         loop_.due.cancel(limit_);
         limit_ = loop_.due.at(clock_now() + span, [this, why] {
             limit_ = Due::kNone;
-            call_.lose(why);
+            if (!closed()) call_.lose(why);
         });
     }
     Call& call_;
     const std::string path_;
     const Seconds first_, silence_;
     HttpReader reader_;
-    Lines lines_;
+    Objects objects_;
     bool whole_ = false;
     std::string lost_;
-    Due::Key limit_ = Due::kNone;
+    Due::Key limit_ = Due::kNone, whole_by_ = Due::kNone;
 };
 
 Call::Call(Loop& loop, Address address) : loop_(loop), address_(address) {}
--- a/src/net/call.hpp
+++ b/src/net/call.hpp
@@ -1,5 +1,6 @@
-// One HTTP call on a connection of its own, whose answer is read line by line as it comes: a single answer,
-// or a stream that stays open. Silence for longer than allowed, a wrong status or a broken answer lose it.
+// One HTTP call on a connection of its own, whose answer is read object by object as it comes: a single
+// answer, or a stream that stays open. Silence for longer than allowed, a wrong status, a broken answer or
+// what can be no JSON object lose it.
 #pragma once
 
 #include <functional>
@@ -14,18 +15,18 @@
 class Call {
   public:
     struct Told {
-        std::function<void(const std::string& line)> line;
-        std::function<void()> whole;                       // the answer has come to its end
-        std::function<void(const std::string& why)> lost;  // before that
+        std::function<void(const std::string& text)> object;  // empty: a sign of life
+        std::function<void()> whole;                          // the answer has come to its end
+        std::function<void(const std::string& why)> lost;     // before that
     };
     Call(Loop& loop, Address address);
     void move(Address address) { address_ = address; }  // the next one begins there
     ~Call();
-    // Ends the one before. `silence` is the longest allowed, `first` that before the first line.
+    // Ends the one before. `silence` is the longest allowed, `first` that before the first object.
     void begin(const std::string& path, Seconds first, Seconds silence, Told told);
     void drop();
     bool open() const { return link_ != nullptr; }
-    bool spoke() const { return spoke_; }  // at least a line has come
+    bool spoke() const { return spoke_; }  // something whole has come
 
   private:
     class Stream;
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -29,26 +29,4 @@
     unsigned long long left_ = 0;
 };
 
-// Lines out of a stream of bytes, up to a bound.
-class Lines {
-  public:
-    // False once a line is too long. `call` gets each whole line without its end.
-    template <class Call>
-    bool add(std::string_view bytes, std::size_t most, Call call) {
-        for (auto end = bytes.find('\n'); end != std::string_view::npos; end = bytes.find('\n')) {
-            held_.append(bytes.substr(0, end));
-            bytes.remove_prefix(end + 1);
-            std::string line;
-            line.swap(held_);
-            if (!line.empty() && line.back() == '\r') line.pop_back();
-            call(line);
-        }
-        held_.append(bytes);
-        return held_.size() <= most;
-    }
-
-  private:
-    std::string held_;
-};
-
 }  // namespace tideline::net
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -1,7 +1,6 @@
 // The list of pods: watched. It tells what came, and when the watch was lost.
 #pragma once
 
-#include <algorithm>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -9,6 +8,7 @@
 
 #include "net/call.hpp"
 #include "net/limits.hpp"
+#include "net/listing.hpp"
 
 namespace tideline::net {
 
@@ -23,29 +23,25 @@
         // False for a state older than one that was handed over since.
         virtual bool takes_revision(std::int64_t revision) = 0;
     };
-    // `known` is the copy that was told at start; a watch asks for what came after it.
     List(Loop& loop, Owner& owner, const Terms& terms, Address address, const nlohmann::json& known);
     ~List() { loop_.due.cancel(again_); }
 
-    // False where it is no list, or a change in it makes no sense; what does is taken all the same.
-    bool read(const nlohmann::json& list, bool first_copy);
+    // Tells the copy that was told at start.
+    void begin(const nlohmann::json& known) { read(known, true); }
     void follow();
-    std::int64_t revision() const { return revision_; }
-    void handed(std::int64_t revision) {
-        revision_ = std::max(revision_, revision);
-    }                            // by another than the list
+    std::int64_t revision() const { return listing_.revision(); }
+    void handed(std::int64_t revision) { listing_.handed(revision); }  // by another than the list
     void move(Address address);  // the list is now told there; the watch goes over without a gap
 
   private:
     void watch(int which);
     void take(int which, const std::string& text);
     void lost(int which, const std::string& why);
-    void read_revision(const nlohmann::json& list);
+    bool read(const nlohmann::json& list, bool warm);  // false: it has to be asked for again
     Loop& loop_;
     Owner& owner_;
-    const Terms& terms_;
+    Listing listing_;
     Address address_;
-    std::int64_t revision_ = 0;
     Call watches_[2];  // the one that stands, and after a move the one that is to follow it
     int standing_ = 0;
     Seconds pause_ = kReopenFirst;
--- a/src/net/platform.cpp
+++ b/src/net/platform.cpp
@@ -165,7 +165,7 @@
                                  : moved_ ? "feed opened at the new address"
                                           : "feed silent, another is tried");
         feeds_[which].begin("/api/feed", kFeedSilence, 1e9,
-                            {[this, which](const std::string& line) { feed_line(which, line); },
+                            {[this, which](const std::string& text) { feed_told(which, text); },
                              [this, which] { feed_lost(which, "ended"); },
                              [this, which](const std::string& why) { feed_lost(which, why); }});
     }
@@ -184,7 +184,7 @@
     tend_after(pause_);
 }
 
-void Platform::feed_line(int which, const std::string& text) {
+void Platform::feed_told(int which, const std::string& text) {
     heard_ = clock_now(), pause_ = kReopenFirst;
     // Danger: after a move the old feed still speaks, and must not end the one that is to follow it.
     if (!moved_ || which != standing_) {
--- a/src/net/platform.hpp
+++ b/src/net/platform.hpp
@@ -35,7 +35,7 @@
     void tend_feed();
     void tend_after(Seconds span);
     void feed_lost(int which, const std::string& why);
-    void feed_line(int which, const std::string& text);
+    void feed_told(int which, const std::string& text);
     void drop(Ballots* ballots);
 
     Loop& loop_;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -62,7 +62,7 @@
         }
     if (operations_.empty()) throw std::runtime_error("missing term: operations.0.name");
     choice_ = std::make_unique<Choice>(*this, terms_, slip.seed, clock_now());
-    list_.read(slip.known, true);
+    list_.begin(slip.known);
     platform_.read_state(slip.news);
     platform_.begin();
     if (!clients_.listen(slip.listen))
--- a/tests/parsers.cpp
+++ b/tests/parsers.cpp
@@ -1,5 +1,6 @@
 // The parsers and tables under the sockets: every split, and seeded random bytes.
 #include <map>
+#include <nlohmann/json.hpp>
 #include <random>
 
 #include "helpers.hpp"
@@ -7,6 +8,7 @@
 #include "net/http.hpp"
 #include "net/limits.hpp"
 #include "net/link.hpp"
+#include "net/objects.hpp"
 #include "net/pg.hpp"
 #include "net/ring.hpp"
 #include "net/slots.hpp"
@@ -60,7 +62,7 @@
     for (std::size_t split = 0; split <= bytes.size(); ++split) REQUIRE(read_in_two(bytes, split) == text);
 }
 
-TEST_CASE("an endless head, chunk line or line breaks the answer instead of filling memory") {
+TEST_CASE("an endless head or chunk line breaks the answer instead of filling memory") {
     HttpReader reader;
     Heard heard;
     reader.take("HTTP/1.1 200 OK\r\nX: " + std::string(kHeadMost, 'x'), heard);
@@ -70,13 +72,34 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(kChunkLineMost + 1, '1'),
         heard);
     CHECK(chunks.broken());
-    Lines lines;
-    std::vector<std::string> got;
-    const auto keep = [&](const std::string& line) { got.push_back(line); };
-    CHECK(lines.add("a\r\n\nb", 3, keep));
-    CHECK(lines.add("c\nde", 3, keep));
-    CHECK_FALSE(lines.add("fg", 3, keep));
-    CHECK(got == std::vector<std::string>{"a", "", "bc"});
+}
+
+TEST_CASE("objects come out of a stream whole, on one line or many, wherever it is split") {
+    const nlohmann::json list = {{"a", {{"b", "}\"{\\"}, {"c", {1, -2.5e3, true, nullptr}}, {"d", {}}}},
+                                 {"e", 1}};
+    const std::string stream = "\n" + list.dump() + "\r\n\r\n" + list.dump(2) + list.dump(-1) + "\n {}\n\n";
+    for (std::size_t split = 0; split <= stream.size(); ++split) {
+        Objects objects;
+        std::vector<std::string> got;
+        const auto keep = [&](const std::string& text) { got.push_back(text); };
+        REQUIRE(objects.add(std::string_view(stream).substr(0, split), 1000, keep) == Objects::Read::fine);
+        REQUIRE(objects.add(std::string_view(stream).substr(split), 1000, keep) == Objects::Read::fine);
+        REQUIRE(got == std::vector<std::string>{"", list.dump(), "", list.dump(2), list.dump(), "{}", ""});
+        REQUIRE_FALSE(objects.within());
+    }
+}
+
+TEST_CASE("what no object can go on with breaks the stream at once, an endless object too") {
+    const auto none = [](const std::string&) {};
+    for (const char* text :
+         {"noise", "[]", "{no json", "{\"a\":1,}", "{\"a\" 1", "{\"a\":1]", "{\"a\":{}{", "{\"rev\n", "{,",
+          "{\"a\":[,", "{\"a\":}", "{1", "}", "{\"a\"::", "{\"a\":1 2", "{\"a\":\x01"}) {
+        Objects objects;
+        CAPTURE(text);
+        CHECK(objects.add(text, 100, none) == Objects::Read::broken);
+    }
+    Objects objects;
+    CHECK(objects.add("{\"a\":\"" + std::string(100, 'x'), 100, none) == Objects::Read::endless);
 }
 
 TEST_CASE("random bytes never make the parsers read past their end") {
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -646,6 +646,39 @@
     CHECK(other.take());
 }
 
+TEST_CASE("a list that comes indented, in pieces or several on a line keeps the watch") {
+    Rig rig(1);
+    rig.begin();
+    const json first = {
+        {"revision", 43}, {"complete", false}, {"members", {pod_line("s-0", rig.pods[0].port, "Gone")}}};
+    Stand other;
+    const json second = {{"revision", 44}, {"complete", false}, {"members", {pod_line("s-9", other.port)}}};
+    const int way = GENERATE(0, 1, 2);
+    const std::string text = way == 0   ? first.dump(2) + "\n\n" + second.dump(2) + "\n"
+                             : way == 1 ? first.dump() + second.dump() + "\n"
+                                        : first.dump(1) + "\n" + second.dump() + "\n";
+    for (std::size_t i = 0; i < text.size(); i += way == 1 ? text.size() : 1)
+        rig.watch.send(chunk(text.substr(i, way == 1 ? text.size() : 1)));
+    Peer client = rig.client();
+    rest(0.2);
+    client.send(invocation());
+    CHECK(other.take());
+    CHECK_FALSE(rig.list.take(kQuiet));  // no other watch was needed
+}
+
+TEST_CASE("an object that is cut off loses the watch, though signs of life go on behind it") {
+    Rig rig(1);
+    rig.begin();
+    rig.watch.send(chunk("{\"revision\":43,\"complete\":\n"));
+    double waited = 0;
+    Peer again;
+    for (const double begun = now(); !again && waited < 2 * kObjectWithin; waited = now() - begun) {
+        rig.watch.send(chunk("\n"));
+        again = rig.list.take(0.2);
+    }
+    CHECK(again.upto("\r\n\r\n").find("follow=1&since=41") != std::string::npos);
+}
+
 TEST_CASE("a feed that can't be read is opened again soon, without a storm") {
     Rig rig(1);
     rig.begin();
