A repeat that waited for its connection is held to the repeat window when it goes

Suspected from reading, confirmed by a test: the window in which pods drop a repeat was checked when a further dispatch was decided, its bytes may go out up to the connect time later. In the test a repeat decided 0.2 s after the first, with a window of 1 s, was still good at 1.1 s. At fault: Choice::Desk::still_good, which asked about drain, start, build and cap only. Change: it asks may_repeat_at too, for the dispatch that has not gone yet. What may no longer go is placed again and ends as terminated where nothing else is allowed. Test: plain, fails without it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -910,14 +910,18 @@
         answered(pods[it->second.dispatches[no.value].pod.pod]);
     }
 
-    // Danger: once a connection is up the pod may drain or be another, or the cap have fallen: placed again.
+    // Danger: once a connection is up the pod may drain or be another, the cap have fallen, or the time be
+    // over in which a repeat is known for one: placed again.
     bool still_good(InvId id, DispatchNo no) {
         const auto it = open.find(id);
         if (it == open.end() || it->second.concluded || no != it->second.last_no()) return false;
         Dispatch& d = it->second.dispatches.back();
         const PodLine& line = pods[d.pod.pod].line;
+        d.may_have_run = false;  // not yet
+        const bool repeats = may_repeat_at(it->second, line);
+        d.may_have_run = true;
         d.recalled = line.state != PodState::ready || line.build != d.pod.build ||
-                     line.started != d.pod.started ||
+                     line.started != d.pod.started || !repeats ||
                      (on_trial(line.build) && (cap_of(line.build) <= 0 || afresh > d.sent + drain_grace));
         return !d.recalled && now < it->second.ends;
     }
--- a/tests/plain.cpp
+++ b/tests/plain.cpp
@@ -255,6 +255,26 @@
     CHECK(s.host.noted("answers flagged") == seen_before);
 }
 
+TEST_CASE("a repeat that waited for its connection does not go once its mark may be forgotten") {
+    Terms terms = basic_terms();
+    terms["operations.0.effect"] = std::string("fingerprinted");
+    terms["operations.0.repeat_window"] = 1.0;
+    Sidecar s(terms);
+    s.choice.pods_listed(s.now, ListKind::whole, {pod("a", 1), pod("b", 1)});
+    s.choice.stage_told(s.now, Build{1}, Stage{0}, Phase::released, 1, 0);
+    const InvId inv = s.take(0, {}, 5);
+    REQUIRE(s.host.sent.size() == 1);
+    s.run(0.2);
+    s.end(s.host.sent[0], Outcome::broken);
+    REQUIRE(s.host.sent.size() == 2);
+    CHECK(s.choice.still_good(s.now, inv, DispatchNo{1}));
+    s.run(0.9);
+    CHECK_FALSE(s.choice.still_good(s.now, inv, DispatchNo{1}));
+    s.end(s.host.sent[1], Outcome::moot, 1);
+    CHECK(s.host.sent.size() == 2);
+    REQUIRE(s.host.terminated.size() == 1);  // it may have run: no word that another try is harmless
+}
+
 // Each call is work for a service that all sidecars share: a pair of them a loss kept it from answering any.
 TEST_CASE("a lost list is asked for again by one call a loss, later each time, within 1 s") {
     Terms terms = basic_terms();
