Clients' ends: seen behind unread bytes; none read and dropped after SIGTERM; slow statements

Suspected from reading, each confirmed by a socket test that fails on the program before. - A client's close was not noticed while its ring was full (bytes pipelined behind an open invocation): POLLIN was off and nothing else asked for. Its waiting dispatch went out 0.1 s after the close. A reset there made the loop spin. Now POLLRDHUP is asked for instead, and the end counts at once. At fault: Link::set_wants, Link::ready. - After SIGTERM an idle connection was ended by halves (shutdown, then half a second in which what came was read and dropped): a query that crossed it was taken and never answered. Now one that is idle with nothing unread is closed whole, so the client's query is answered by a reset. At fault: kWholeWithin and kTakenWithin as total times. Not tested: an answer taken later than 5 s (socket buffers hide it).

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -21,7 +21,7 @@
         loop_.due.cancel(going_on_);
     }
     void begin(ClientNo no, int fd) {
-        no_ = no;
+        no_ = no, begun_ = clock_now();
         adopt(fd);
         turn();
     }
@@ -64,6 +64,7 @@
 
   protected:
     void came_in() override {
+        const std::size_t held = in_.size();
         for (int i = 0; !ending_ && !inv_ && !closed() && !in_.empty() && all_written(); ++i) {
             if (i == kMessagesAPass) {
                 go_on(kNextPass);
@@ -71,11 +72,14 @@
             }
             if (!(started_ ? read_message() : read_startup())) break;
             mood_ = Mood::none;  // what it has now begun has its own time
+            begun_ = clock_now();
         }
+        if (mood_ == Mood::part && held > seen_) mood_ = Mood::none;  // it goes on
+        seen_ = in_.size();
         if (ending_) in_.drop(in_.size());
         turn();
         all_.count_parts(no_);
-        if (all_.letting_go_ && !closed() && idle()) end();
+        if (all_.letting_go_ && !closed() && idle()) all_.remove(no_);
     }
     void went_out() override {
         if (!in_.empty() && !inv_) go_on();
@@ -89,6 +93,8 @@
         }
         all_.remove(no_);
     }
+    // Danger: one that sent more than is read while it waits, and then closed, would not be seen to be gone.
+    bool ends_unread() const override { return true; }
 
   private:
     enum class Mood { none, fresh, part, idle, busy, held_back, unread, ending };
@@ -115,10 +121,12 @@
                                              : Use::needed);
         if (mood == Mood::fresh)
             over_after(kGreetWithin, "no startup message");
-        else if (mood == Mood::part)
-            over_after(kWholeWithin, "half a message");
+        else if (mood ==
+                 Mood::part)  // it may be slow for as long as somebody may wait for it, but not stand still
+            over_after(std::min(kWholeWithin, std::max(kWholeWithin, all_.longest_) - (clock_now() - begun_)),
+                       "half a message");
         else if (mood == Mood::unread)
-            over_after(kTakenWithin, "answers not taken");
+            over_after(std::max(kTakenWithin, all_.longest_), "answers not taken");
         else if (mood == Mood::idle)
             all_.trim();
         else if (mood == Mood::ending)
@@ -227,11 +235,13 @@
     bool started_ = false, ending_ = false, refused_ = false;
     bool holds_back_ = false;  // its query waits until this sidecar can serve
     int asides_ = 0;
+    std::size_t seen_ = 0;  // bytes of a message not yet whole, when it was last looked at
+    Seconds begun_ = 0;     // when that message may have begun
     Mood mood_ = Mood::none;
     Due::Key limit_ = Due::kNone, going_on_ = Due::kNone;
 };
 
-Clients::Clients(Loop& loop, Owner& owner) : loop_(loop), owner_(owner) {}
+Clients::Clients(Loop& loop, Owner& owner, Seconds longest) : loop_(loop), owner_(owner), longest_(longest) {}
 Clients::~Clients() {
     loop_.due.cancel(trim_);
     stop_listening();
@@ -344,15 +354,23 @@
     return false;
 }
 // Danger: a connection that waits to be accepted may hold an invocation; all of them are taken in first.
+// Danger: of a connection that is ended by halves a query that crosses the end would be read and never
+// answered. One that is idle, with nothing unread, is closed whole: then the client knows that it was not
+// read.
 void Clients::let_go(bool stalled) {
     if (!letting_go_) {
         letting_go_ = true;
         accept_some();
         stop_listening();
     }
-    links_.each([stalled](std::uint64_t, auto& link) {
-        if (link->idle() || (stalled && !link->busy())) link->end();
+    std::vector<ClientNo> idle;
+    links_.each([&](std::uint64_t no, auto& link) {
+        if (link->idle())
+            idle.push_back(ClientNo{no});
+        else if (stalled && !link->busy())
+            link->end();
     });
+    for (const ClientNo no : idle) remove(no);
 }
 
 void Clients::remove(ClientNo no) {
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "net/link.hpp"
 #include "net/slots.hpp"
@@ -34,7 +35,8 @@
         virtual void client_went(InvId inv) = 0;
     };
 
-    Clients(Loop& loop, Owner& owner);
+    // `longest`: s, the longest time limit told; what takes longer than that nobody waits for.
+    Clients(Loop& loop, Owner& owner, Seconds longest);
     ~Clients() override;
     bool listen(const Address& address);
     void answer(ClientNo client, std::string_view bytes);  // a whole answer, before ReadyForQuery
@@ -58,6 +60,7 @@
     void stop_listening();
     Loop& loop_;
     Owner& owner_;
+    const Seconds longest_;
     Slots<std::unique_ptr<Client>> links_;
     std::map<std::uint64_t, std::pair<Use, Seconds>> stands_;     // by number; since when
     std::set<std::tuple<Use, Seconds, std::uint64_t>> standing_;  // those that can be let go, in that order
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -43,15 +43,15 @@
 constexpr Seconds kLinger = 0.5;         // s: an ended connection may still take in the last answer
 constexpr Seconds kLetGoAfter = 0.45;    // s: after SIGTERM clients still come for up to 0.4 s
 constexpr Seconds kGreetWithin = 1.5;    // s: a startup message comes right behind the connection
-constexpr Seconds kWholeWithin = 2;      // s: a statement comes in pieces within the longest time limits
-constexpr Seconds kTakenWithin = 5;      // s: an answer that nobody takes holds memory
-constexpr Seconds kSpareAfter = 2;       // s: a connection idle for longer is hardly used again
-constexpr Seconds kFarewell = 0.05;      // s: time to take in why a connection is ended
-constexpr Seconds kSettled = 0.05;       // s: a usual client has sent its startup message by then
-constexpr Seconds kNextPass = 0.001;     // s: others are served before the next messages of the same client
-constexpr int kAsideMost = 2;            // requests for encryption: both kinds once
-constexpr Seconds kStalled = 1;          // s: after that, half a query is no longer waited for
-constexpr Seconds kStopped = 0.05;       // s: a pass that takes longer was stopped, or had no core
-constexpr Seconds kReportEvery = 10;     // s: a log line with peaks and counts
+constexpr Seconds kWholeWithin = 2;      // s: a statement that has stood still for so long goes on no more
+constexpr Seconds kTakenWithin = 5;   // s: an answer that nobody takes holds memory; longer where limits are
+constexpr Seconds kSpareAfter = 2;    // s: a connection idle for longer is hardly used again
+constexpr Seconds kFarewell = 0.05;   // s: time to take in why a connection is ended
+constexpr Seconds kSettled = 0.05;    // s: a usual client has sent its startup message by then
+constexpr Seconds kNextPass = 0.001;  // s: others are served before the next messages of the same client
+constexpr int kAsideMost = 2;         // requests for encryption: both kinds once
+constexpr Seconds kStalled = 1;       // s: after that, half a query is no longer waited for
+constexpr Seconds kStopped = 0.05;    // s: a pass that takes longer was stopped, or had no core
+constexpr Seconds kReportEvery = 10;  // s: a log line with peaks and counts
 
 }  // namespace tideline::net
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -131,7 +131,8 @@
 
 void Link::set_wants() {
     if (fd_ < 0 || over_) return;
-    loop_.want(fd_, static_cast<short>((deaf_ || in_.full() ? 0 : POLLIN) | (out_.empty() ? 0 : POLLOUT)));
+    const int in = deaf_ ? 0 : !in_.full() ? POLLIN : ends_unread() ? POLLRDHUP : 0;
+    loop_.want(fd_, static_cast<short>(in | (out_.empty() ? 0 : POLLOUT)));
 }
 
 void Link::look_again() {
@@ -197,6 +198,7 @@
     if (events & POLLOUT) write_out();
     if (over_ || fd_ < 0) return;
     if (deaf_ && (events & (POLLHUP | POLLERR))) return broke();
+    if ((events & (POLLRDHUP | POLLHUP | POLLERR)) && in_.full() && ends_unread()) return broke();
     if (!deaf_ && (events & (POLLIN | POLLHUP | POLLERR))) read_in();
 }
 
--- a/src/net/link.hpp
+++ b/src/net/link.hpp
@@ -45,8 +45,10 @@
     virtual void came_in() = 0;  // bytes are in in_
     virtual void went_out() {}   // all that was put is written
     virtual void ended() = 0;    // the peer ended it, or it broke; closed before the call
-    void look_again();           // at what in_ still holds
-    void hear_no_more();         // what still comes is left unread
+    // Whether the peer's end counts at once, though bytes before it wait unread for room in in_.
+    virtual bool ends_unread() const { return false; }
+    void look_again();    // at what in_ still holds
+    void hear_no_more();  // what still comes is left unread
     Loop& loop_;
     Ring in_, out_;
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -26,6 +26,14 @@
         names[std::get<std::string>(it->second)] = kind;
     }
 }
+Seconds longest_limit(const Terms& terms) {
+    Seconds longest = 0;
+    for (int i = 0;; ++i) {
+        const auto it = terms.find("operations." + std::to_string(i) + ".time_limit");
+        if (it == terms.end()) return longest;
+        if (const double* limit = std::get_if<double>(&it->second)) longest = std::max(longest, *limit);
+    }
+}
 std::size_t descriptors_allowed(std::size_t told) {
     rlimit limit{};
     if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return told;
@@ -47,7 +55,7 @@
       sockets_(descriptors_allowed(slip.sockets)),
       operations_(names_of<Operation>(terms_, "operations")),
       customers_(names_of<Customer>(terms_, "customers")),
-      clients_(loop, *this),
+      clients_(loop, *this, longest_limit(terms_)),
       pods_(loop, *this, slip.need("allowed.connect_time"), slip.need("allowed.keep_idle")),
       list_(loop, *this, terms_, slip.list, slip.known),
       platform_(loop, *this, slip.platform, slip.need("release.vote_wait"), slip.seed) {
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -66,6 +66,11 @@
         if (fd_ >= 0) ::close(fd_);
         fd_ = -1;
     }
+    // A close then resets it.
+    void linger_none() {
+        const linger none{1, 0};
+        ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    }
     void send(std::string_view bytes) { (void)!::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
     // False once the other side has ended it, or after the time.
     bool more(double wait = kLong) {
@@ -81,6 +86,11 @@
         for (const double until = now() + wait; !ended_ && now() < until;) more(until - now());
         return ended_;
     }
+    // Whether the other side reset it: what is sent now is not read.
+    bool reset(double wait = kLong) {
+        pollfd in{fd_, 0, 0};
+        return ::poll(&in, 1, static_cast<int>(wait * 1e3)) == 1;
+    }
     bool quiet(double wait = kQuiet) { return in_.empty() && !more(wait) && !ended_; }
     // Takes away all up to and with the mark.
     std::string upto(std::string_view mark) {
@@ -791,6 +801,67 @@
     CHECK(rig.log().find("did not hold") == std::string::npos);
 }
 
+TEST_CASE("SIGTERM: of a connection that is ended between invocations nothing is read and dropped") {
+    Rig rig(1);
+    rig.begin();
+    Peer idle = rig.client(), served_before = rig.client();
+    served_before.send(invocation());
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    rig.signal(SIGTERM);
+    const double told = now();
+    CHECK(idle.ended());
+    rest(std::max(0.0, told + kLetGoAfter + 0.05 - now()));
+    pod.send(served("1"));
+    CHECK(served_before.answer() == "1");
+    CHECK(served_before.ended());
+    for (Peer* each : {&idle, &served_before}) {  // crosses the end: the client has to learn it was not read
+        each->send(invocation());
+        CHECK(each->reset(kLinger / 2));
+    }
+    CHECK(rig.status() == 0);
+}
+
+TEST_CASE("a client's close is seen though more of what it sent waits unread") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    std::string more;
+    while (more.size() < 4 * kRingFirst) more += invocation();
+    client.send(invocation() + more);
+    Peer pod = rig.pod(kLong, false);  // its dispatch waits for this connection
+    pod.take(1 << 20);
+    const bool reset = GENERATE(false, true);
+    if (reset) client.linger_none();
+    client.close();
+    const double before = rig.cpu();
+    rest(0.1);
+    pod.send(pg::welcome());
+    CHECK(pod.message(0.3).first != 'Q');
+    CHECK(rig.cpu() - before < 0.2);
+    CHECK(rig.log().find("did not hold") == std::string::npos);
+}
+
+TEST_CASE("a statement may come as slowly as its client may wait, but not stand still") {
+    Rig rig(1);
+    for (auto& each : rig.told["settings"]["classes"]) each["deadlineUs"] = 8000000;
+    rig.begin();
+    Peer client = rig.client(), still = rig.client();
+    const std::string query = invocation("read", 7000);
+    const double begun = now();
+    still.send(query.substr(0, 20));
+    for (std::size_t i = 0, piece = query.size() / 4 + 1; i < query.size(); i += piece) {
+        if (i > 0) rest(kWholeWithin / 2);
+        client.send(std::string_view(query).substr(i, piece));
+    }
+    CHECK(now() - begun > kWholeWithin);
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    pod.send(served("slow"));
+    CHECK(client.answer() == "slow");
+    CHECK(still.ended(0.5));
+}
+
 TEST_CASE("short of descriptors it lets idle connections go, does not spin, and serves") {
     Rig rig(1);
     rig.told["limits"]["sockets"] = 64;
