Calls for the list go in turns once they fail in a row: a fleet no longer keeps itself out

Logs: from 22 s on 180 to 210 refusals a second for ever, calls that took 2 s to be refused among them. Ruled out: discovery being down (it was back at 19.0 s); the content of the lists (a call that got through was taken). Cause: a service that works through calls in their order, and on those that have given up too, answers nobody while the queue is longer than their patience; calls again within 1 s keep it so. At fault: Choice::Desk::lost. Change: the first loss is asked about at once as before. A fleet small enough that all may call within 3 s calls on eagerly; a larger one calls once in sidecars / 20 seconds, scattered, until it is told.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -90,7 +90,9 @@
 constexpr Seconds kWary = 10;           // s: after that it may soon stand still again
 constexpr Seconds kBeatIdle = 0.25;  // s: and with nothing open, for votes and the judge; scattered by half
 constexpr Seconds kAskAgain = 0.4;   // s: first wait after the list was lost; doubles, scattered
-constexpr Seconds kAskMost = 1;      // s: longest such wait: several fit before we count as told anyway
+constexpr Seconds kAskEager = 3;  // s: so long it is called at once again; refusals may be a matter of luck
+constexpr double kAskRate = 20;   // calls a second: of all sidecars, borne by a service that must be asked
+constexpr Seconds kAskMost = 1;   // s: longest such wait: several fit before we count as told anyway
 
 constexpr Seconds kNever = -std::numeric_limits<double>::infinity();
 constexpr AlarmId kBeatAlarm{1};
@@ -183,7 +185,7 @@
     Seconds vote_due = kNever, vote_sent = kNever;
     bool vote_open = false;
 
-    Seconds ask_at = kNever, ask_wait = kAskAgain, next_beat = kNever;
+    Seconds ask_at = kNever, ask_wait = kAskAgain, lost_at = now, next_beat = kNever;
 
     Desk(Host& h, const Terms& t, std::uint64_t seed, Seconds at)
         : host(h), terms(t), chance(static_cast<std::uint32_t>(seed ^ (seed >> 32))), start(at), now(at) {
@@ -814,15 +816,23 @@
         std::size_t ready = 0;
         for (const auto& [id, pod] : pods) ready += pod.line.state == PodState::ready;
         most_ready = std::max(most_ready, ready);
-        if (kind != ListKind::warm_copy) ask_wait = kAskAgain;
+        if (kind != ListKind::warm_copy) ask_wait = kAskAgain, lost_at = kNever;
         serve_waiting();
     }
     // Danger: without a watch we count as told of changes we never saw. So it is asked for again, and nothing
     // beside it: it begins with what was missed, or else with all, and whoever tells the list has many
     // callers. A second call for the whole list keeps them from getting through just when they need to.
+    // Danger: with hundreds of callers the service works only on calls that have waited too long, and for as
+    // long as they call again soon it answers nobody. So after a few calls in a row each calls only as often
+    // as it can bear from all sidecars. Harms after a long outage: one of hundreds may be that much later.
     void lost() {
-        ask_at = now + ask_wait * draw(0.5, 1);
-        ask_wait = std::min(kAskMost, 2 * ask_wait);
+        const Seconds turn = std::max(kAskMost, sidecars / kAskRate);
+        const bool first = lost_at == kNever;
+        if (first) lost_at = now;
+        const bool eager = first || (turn <= kAskEager && now < lost_at + kAskEager);
+        if (!eager) ask_wait = std::max(ask_wait, turn);
+        ask_at = now + ask_wait * draw(ask_wait < turn ? 0.5 : 0.2, 1);
+        ask_wait = std::min(eager ? kAskMost : turn, 2 * ask_wait);
     }
 
     void taken(InvId id, Operation op, Customer customer, std::optional<ObjectKey> key, Seconds budget) {
--- a/tests/plain.cpp
+++ b/tests/plain.cpp
@@ -1,5 +1,7 @@
 // Plain cases: each step of the design page against values worked out by hand, and one for each failure
 // found.
+#include <memory>
+
 #include "helpers.hpp"
 
 using namespace tideline;
@@ -293,6 +295,55 @@
     }
 }
 
+// A service of fixed capacity that works through calls in their order, and works on those too that have
+// waited for too long: with all sidecars calling again soon it would answer nobody for ever.
+TEST_CASE("hundreds of sidecars get the list back from a service that can't bear them all at once") {
+    constexpr int kSidecars = 300;
+    constexpr Seconds kCall = 0.04, kPatience = 2, kQueueMost = 5;
+    Terms terms = basic_terms();
+    terms["list.told"] = std::string("asked");
+    terms["sidecars"] = static_cast<double>(kSidecars);
+    std::vector<std::unique_ptr<Sidecar>> all;
+    struct Asked {
+        int whose;
+        Seconds at;
+    };
+    std::deque<Asked> queue;
+    std::vector<int> follows(kSidecars, 1);  // one from the start, which is lost now
+    std::set<int> without;
+    for (int i = 0; i < kSidecars; ++i) {
+        all.push_back(std::make_unique<Sidecar>(terms, static_cast<std::uint64_t>(i)));
+        all.back()->choice.list_lost(all.back()->now);
+        without.insert(i);
+    }
+    Seconds free_at = all[0]->now;
+    const Seconds begun = free_at;
+    while (!without.empty() && all[0]->now < begun + 60) {
+        for (int i = 0; i < kSidecars; ++i) {
+            Sidecar& s = *all[static_cast<std::size_t>(i)];
+            s.run(0.02);
+            if (s.host.follows == follows[static_cast<std::size_t>(i)]) continue;
+            follows[static_cast<std::size_t>(i)] = s.host.follows;
+            if (kCall * static_cast<double>(queue.size()) > kQueueMost)
+                s.choice.list_lost(s.now);  // refused at once
+            else
+                queue.push_back({i, s.now});
+        }
+        const Seconds now = all[0]->now;
+        for (; !queue.empty() && free_at <= now; queue.pop_front(), free_at += kCall) {
+            const Asked first = queue.front();
+            Sidecar& s = *all[static_cast<std::size_t>(first.whose)];
+            if (now - first.at > kPatience)
+                s.choice.list_lost(s.now);
+            else if (without.erase(first.whose) > 0)
+                s.choice.pods_listed(s.now, ListKind::whole, {pod("a", 1)});
+        }
+        if (queue.empty()) free_at = now;
+    }
+    CHECK(without.size() == 0);
+    CHECK(all[0]->now - begun < 45);  // 12 s if each called just when it is its turn
+}
+
 TEST_CASE("a term that is missing or out of range is named") {
     Notebook host;
     Terms terms = basic_terms();
