A list's revision is read in one place, by the listing

Need: List and Listing each took the revision out of a telling. Behaviour unchanged. Lint and the nine cases of list and watch pass; the other tests were not run again.

--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -8,29 +8,19 @@
 
 using nlohmann::json;
 
-namespace {
-
-std::optional<std::int64_t> revision_of(const json& list) {
-    if (!list.is_object()) return std::nullopt;
-    const auto at = list.find("revision");
-    if (at == list.end() || !at->is_number_integer()) return std::nullopt;
-    return at->get<std::int64_t>();
-}
-
-}  // namespace
-
 List::List(Loop& loop, Owner& owner, const Terms& terms, Address address, const json& known)
     : loop_(loop),
       owner_(owner),
       listing_(terms),
       address_(address),
       watches_{Call(loop, address), Call(loop, address)} {
-    listing_.handed(revision_of(known).value_or(0));
+    listing_.handed(Listing::revision_of(known).value_or(0));
 }
 
 bool List::read(const json& list, bool warm) {
     // Danger: a list that lagged while another handed over what it lacked tells its old changes later.
-    if (const auto revision = revision_of(list); revision && !owner_.takes_revision(*revision)) return true;
+    if (const auto revision = Listing::revision_of(list); revision && !owner_.takes_revision(*revision))
+        return true;
     const Listing::Told told = listing_.read(list, warm);
     if (told.list) owner_.listed(told.kind, told.lines, told.addresses);
     return told.list && told.clear;
--- a/src/net/listing.cpp
+++ b/src/net/listing.cpp
@@ -98,14 +98,19 @@
     newest_ = std::max(newest_, revision);
 }
 
+std::optional<std::int64_t> Listing::revision_of(const json& list) {
+    const json* at = list.is_object() ? field(list, "revision") : nullptr;
+    if (!at || !at->is_number_integer()) return std::nullopt;
+    return at->get<std::int64_t>();
+}
+
 Listing::Told Listing::read(const json& list, bool warm) {
     Told told;
     if (!list.is_object()) return told;
     const json* members = field(list, "members");
     if (!members || !members->is_array()) return told;
-    const json* numbered = field(list, "revision");
-    const bool has_number = numbered && numbered->is_number_integer();
-    const std::int64_t revision = has_number ? numbered->get<std::int64_t>() : newest_;
+    const auto numbered = revision_of(list);
+    const std::int64_t revision = numbered.value_or(newest_);
     const json* complete = field(list, "complete");
     const bool whole = warm || (complete && complete->is_boolean() && complete->get<bool>());
     told.list = true;
@@ -150,7 +155,7 @@
     // it; once more the same, there is nothing to wait for, and the rest must not be asked for for ever.
     told.clear = odd.empty() || odd == odd_ || warm;
     odd_ = odd;
-    if (told.clear && has_number) revision_ = revision, newest_ = std::max(newest_, revision);
+    if (told.clear && numbered) revision_ = revision, newest_ = std::max(newest_, revision);
     return told;
 }
 
--- a/src/net/listing.hpp
+++ b/src/net/listing.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
     };
     explicit Listing(const Terms& terms) : terms_(terms) {}
 
+    // The number that a list gives itself; nothing if it gives none.
+    static std::optional<std::int64_t> revision_of(const nlohmann::json& list);
     // `warm`: the copy told at start.
     Told read(const nlohmann::json& list, bool warm);
     // The revision that a watch asks to go on from; the list's own numbering, 0 if none was told.
