Log: calls for the list with their times, why invocations are given up, retries

Change: List logs each loss with revision, age and the call's time, and when a watch stands again; Choice counts what it gives up by reason (GiveUpReason), and the report prints these and further dispatches. No decision changes.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -4,6 +4,7 @@
 // that returns.
 #include "choice.hpp"
 
+#include <array>
 #include <cmath>
 #include <limits>
 #include <random>
@@ -157,6 +158,7 @@
     double share = 1;                    // of what is taken that is sent
     Seconds heard = now, woke = kNever;  // the last event, and the last one after a stand-still
     Seconds pressed = kNever;            // when last something had to wait here
+    std::array<long, kGiveUpReasons> given_up{};
 
     std::optional<News> news;
     Stand stand = Stand::open;
@@ -428,7 +430,8 @@
         host.dispatch(id, pod.line.pod, inv.ends);
     }
 
-    void give_up(InvId id, Invocation& inv) {
+    void give_up(InvId id, Invocation& inv, GiveUpReason reason) {
+        ++given_up[static_cast<std::size_t>(reason)];
         inv.concluded = true;
         const bool harmless = covers[inv.op.value].effect == Effect::idempotent || !inv.may_have_run();
         harmless ? host.throttle(id, draw(kComeBackLeast, 1) * longest_come_back) : host.terminate(id);
@@ -461,14 +464,16 @@
     }
     // Sends an invocation, lets it wait while there is hope, or gives it its final answer at once.
     void place(InvId id, Invocation& inv) {
-        if (static_cast<int>(inv.dispatches.size()) >= dispatches_most || draw(0, 1) > share)
-            return give_up(id, inv);
+        if (static_cast<int>(inv.dispatches.size()) >= dispatches_most)
+            return give_up(id, inv, GiveUpReason::attempts_used);
+        if (draw(0, 1) > share) return give_up(id, inv, GiveUpReason::shed);
         if (inv.dispatches.empty() && (share < 1 || !waiting.empty()) && over_share(inv.customer))
-            return give_up(id, inv);
+            return give_up(id, inv, GiveUpReason::over_share);
         const bool in_turn = !inv.dispatches.empty() || waiting.empty();
         if (Pod* pod = in_turn ? pick(inv) : nullptr) return send(id, inv, *pod);
         // Danger: what is held when this sidecar stands still comes too late. Once it did, it holds none.
-        if (!any_place(inv) || now < woke + kWary) return give_up(id, inv);
+        if (!any_place(inv)) return give_up(id, inv, GiveUpReason::no_pod);
+        if (now < woke + kWary) return give_up(id, inv, GiveUpReason::stood_still);
         const auto ahead = std::count_if(waiting.begin(), waiting.end(), [&](InvId each) {
             const auto it = open.find(each);
             return it != open.end() && earns(it->second) >= earns(inv);
@@ -476,7 +481,7 @@
         const double rate = served.since(now - kRecent) / kRecent;
         const double wait = rate > 0 ? static_cast<double>(ahead) / rate : 0;
         pressed = now;
-        if (now + wait > hope_until(inv)) return give_up(id, inv);
+        if (now + wait > hope_until(inv)) return give_up(id, inv, GiveUpReason::no_hope);
         inv.waiting = true;
         waiting.push_back(id);
         wake_within(kBeat);
@@ -506,7 +511,7 @@
             if (Pod* pod = pick(inv))
                 send(id, inv, *pod);
             else if (now > hope_until(inv))
-                give_up(id, inv);
+                give_up(id, inv, GiveUpReason::no_hope);
             else
                 waiting.push_back(id);
         }
@@ -906,9 +911,10 @@
         if (concluded) inv.concluded = true;
         if (inv.concluded)
             open.erase(it);
-        else if ((outcome == Outcome::moot && !d.recalled) ||
-                 (outcome == Outcome::timed_out && now >= inv.ends - kBeat))
-            give_up(id, inv);
+        else if (outcome == Outcome::moot && !d.recalled)
+            give_up(id, inv, GiveUpReason::never_sent);
+        else if (outcome == Outcome::timed_out && now >= inv.ends - kBeat)
+            give_up(id, inv, GiveUpReason::out_of_time);
         else
             place(id, inv);
         serve_waiting();
@@ -1041,5 +1047,6 @@
     at(now).told_pace(pod, most, valid);
 }
 void Choice::alarm_rang(Seconds now, AlarmId alarm) { at(now).beat(alarm); }
+long Choice::given_up(GiveUpReason reason) const { return desk_->given_up[static_cast<std::size_t>(reason)]; }
 
 }  // namespace tideline
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -59,6 +59,8 @@
     // out for all. It comes on top of the own rule, never in its place.
     void pace_told(Seconds now, const PodId& pod, double most, Seconds valid);
     void alarm_rang(Seconds now, AlarmId alarm);
+    // Invocations given up since the start, by reason; for the log.
+    long given_up(GiveUpReason reason) const;
 
   private:
     struct Desk;
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -13,7 +13,8 @@
       owner_(owner),
       listing_(terms),
       address_(address),
-      watches_{Call(loop, address), Call(loop, address)} {
+      watches_{Call(loop, address), Call(loop, address)},
+      heard_at_(clock_now()) {
     listing_.handed(Listing::revision_of(known).value_or(0));
 }
 
@@ -26,7 +27,18 @@
     return told.list && told.clear;
 }
 
+void List::heard() {
+    const Seconds now = clock_now();
+    if (calls_ > 0)
+        owner_.list_said(fmt::format(
+            "watch stands from revision {}, answered in {:.2f} s, call {} in {:.1f} s without one",
+            listing_.revision(), now - called_at_, calls_, now - heard_at_));
+    calls_ = 0;
+    heard_at_ = now;
+}
+
 void List::take(int which, const std::string& text) {
+    heard();
     if (which != standing_) {  // the one that follows speaks: what the old one told was all taken
         watches_[standing_].drop();
         standing_ = which;
@@ -41,6 +53,8 @@
 // Danger: what was lost before the watch stood counts as told; so the watch names the last state known.
 void List::watch(int which) {
     loop_.due.cancel(again_);
+    ++calls_;
+    called_at_ = clock_now();
     watches_[which].begin(fmt::format("/v1/servers?follow=1&since={}", listing_.revision()), kListFirst,
                           kListSilence,
                           {[this, which](const std::string& text) { take(which, text); },
@@ -68,7 +82,13 @@
         standing_ = 1 - which;
     } else {
         loop_.due.cancel(again_);
-        owner_.list_lost("watch: " + why);
+        const Seconds now = clock_now();
+        owner_.list_lost(
+            calls_ == 0
+                ? fmt::format("watch: {}; revision {}", why, listing_.revision())
+                : fmt::format(
+                      "watch: {}; revision {}, {:.1f} s old; call {} in a row, {:.2f} s after it was made",
+                      why, listing_.revision(), now - heard_at_, calls_, now - called_at_));
     }
 }
 
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -20,6 +20,8 @@
         virtual void listed(ListKind kind, const std::vector<PodLine>& lines,
                             const std::vector<Address>& addresses) = 0;
         virtual void list_lost(const std::string& why) = 0;
+        // For the log: a call was made, a watch stands again.
+        virtual void list_said(const std::string& what) = 0;
         // False for a state older than one that was handed over since.
         virtual bool takes_revision(std::int64_t revision) = 0;
     };
@@ -37,6 +39,7 @@
     void watch(int which);
     void take(int which, const std::string& text);
     void lost(int which, const std::string& why);
+    void heard();                                      // by the watch, a sign of life or more
     bool read(const nlohmann::json& list, bool warm);  // false: it has to be asked for again
     Loop& loop_;
     Owner& owner_;
@@ -45,6 +48,9 @@
     Call watches_[2];  // the one that stands, and after a move the one that is to follow it
     int standing_ = 0;
     Seconds pause_ = kReopenFirst;
+    int calls_ = 0;          // in a row, none of them answered yet
+    Seconds called_at_ = 0;  // the last of them
+    Seconds heard_at_ = 0;   // when the watch last spoke
     Due::Key again_ = Due::kNone;
 };
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -85,6 +85,7 @@
     if (!must(held && !held->concluded, "no dispatch after the answer")) return;
     must(held->out == 0 || overlap_, "dispatches are out together only where allowed");
     const DispatchNo no{held->dispatches++};
+    retried_ += no.value > 0;
     ++held->out;
     if (held->effect != Effect::idempotent) return ask_surety(inv, *held, no, pod, stop_at);
     send(inv, *held, no, pod, stop_at);
@@ -362,6 +363,11 @@
         clients_.report(), pods_.connections(), loop_.watched() + 4, loop_.peak() + 4, used.ru_maxrss / 1024,
         static_cast<double>(used.ru_utime.tv_sec + used.ru_stime.tv_sec) +
             static_cast<double>(used.ru_utime.tv_usec + used.ru_stime.tv_usec) * 1e-6);
+    std::string given_up;
+    for (int i = 0; i < kGiveUpReasons; ++i)
+        given_up += fmt::format("{}{} {}", i == 0 ? "" : ", ", kGiveUpNames[i],
+                                choice_->given_up(static_cast<GiveUpReason>(i)));
+    log_.line("given up: {}; dispatched again {}", given_up, retried_);
     for (const auto& [what, times] : broken_musts()) log_.line("did not hold {} times: {}", times, what);
 }
 
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -92,6 +92,7 @@
     void listed(ListKind kind, const std::vector<PodLine>& lines,
                 const std::vector<Address>& addresses) override;
     void list_lost(const std::string& why) override;
+    void list_said(const std::string& what) override { log_.line("list: {}", what); }
     bool takes_revision(std::int64_t revision) override;
     // Platform::Owner
     void stage_told(Build build, Stage stage, Phase phase, double cap, Seconds age) override;
@@ -136,6 +137,7 @@
     long taken_ = 0, throttled_ = 0, terminated_ = 0, late_ = 0, went_ = 0, recalled_ = 0, lists_ = 0,
          lost_ = 0;
     std::size_t held_peak_ = 0;
+    long retried_ = 0;
 };
 
 }  // namespace tideline::net
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -37,6 +37,21 @@
     DispatchNo last_no() const { return {static_cast<int>(dispatches.size()) - 1}; }
 };
 
+// Why an invocation was given its final answer without a pod's.
+enum class GiveUpReason {
+    attempts_used,  // the most dispatches allowed were made
+    shed,           // a part of what is taken is not sent while answers come late
+    over_share,     // its customer sends more than its share while others wait
+    no_pod,         // no listed pod may take it
+    stood_still,    // this sidecar stood still a moment ago and lets nothing wait
+    no_hope,        // waiting longer would bring no answer within the objective
+    out_of_time,    // its dispatch timed out at its time limit
+    never_sent,     // its dispatch ended without a connection, too late for another
+};
+constexpr int kGiveUpReasons = static_cast<int>(GiveUpReason::never_sent) + 1;
+constexpr const char* kGiveUpNames[kGiveUpReasons] = {
+    "attempts used", "shed", "over share", "no pod", "stood still", "no hope", "out of time", "never sent"};
+
 // Answers counted for or against a build.
 struct Count {
     double seen = 0, bad = 0;
