--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -9,7 +9,9 @@
 #include <limits>
 #include <random>
 #include <set>
+#include <utility>
 
+#include "list_freshness.hpp"
 #include "records.hpp"
 #include "samples.hpp"
 #include "terms.hpp"
@@ -89,11 +91,13 @@
 constexpr Seconds kBeat = 0.02;         // s: how often what waits is looked at; small beside any SLO time
 constexpr Seconds kStoodStill = 0.6;    // s: with no beat for so long this sidecar stood still
 constexpr Seconds kWary = 10;           // s: after that it may soon stand still again
-constexpr Seconds kBeatIdle = 0.25;  // s: and with nothing open, for votes and the judge; scattered by half
-constexpr Seconds kAskAgain = 0.4;   // s: first wait after the list was lost; doubles, scattered
-constexpr Seconds kAskEager = 3;  // s: so long it is called at once again; refusals may be a matter of luck
-constexpr double kAskRate = 20;   // calls a second: of all sidecars, borne by a service that must be asked
-constexpr Seconds kAskMost = 1;   // s: longest such wait: several fit before we count as told anyway
+constexpr Seconds kBeatIdle = 0.25;   // s: and with nothing open, for votes and the judge; scattered by half
+constexpr Seconds kAskAgain = 0.4;    // s: first wait after the list was lost, scattered
+constexpr double kAskRateMost = 100;  // calls a second of all sidecars: the rate that is tried first
+constexpr double kAskRateLeast =
+    20;  // and the one below which nobody goes: a service that must be asked bears it
+constexpr int kAskDoublings = 8;  // times: beyond any longest wait
+constexpr Seconds kAskMost = 1;   // s: longest wait in a small fleet: several fit before we count as told
 
 constexpr Seconds kNever = -std::numeric_limits<double>::infinity();
 constexpr AlarmId kBeatAlarm{1};
@@ -123,6 +127,7 @@
     Runs answers{kRun, kRunsKept};  // answer times over their operations' shortest
     double limit = kLimitFirst;     // own dispatches that may be out here at once
     Seconds last_answer = kNever;
+    std::optional<Seconds> ready_at;  // the process that is listed took an attempt written then
     Seconds rest_until = kNever, rest_for = 0;
     bool proving = false, probed = false;  // back from a rest: one dispatch until it answers
     Stretch sent;                          // sent here, for the cold guard
@@ -145,6 +150,8 @@
     std::ranlux24_base chance;
     const Seconds start;
     Seconds now;
+    ListFreshness freshness;
+    bool expired = false;  // the list was past its time when last looked at
 
     std::vector<Cover> covers;
     std::map<PodId, Pod> pods;
@@ -187,17 +194,37 @@
     Seconds vote_due = kNever, vote_sent = kNever;
     bool vote_open = false;
 
-    Seconds ask_at = kNever, ask_wait = kAskAgain, lost_at = now, next_beat = kNever;
+    Seconds ask_at = kNever, next_beat = kNever;
+    int calls_failed = 0;  // for the list, in a row
 
     Desk(Host& h, const Terms& t, std::uint64_t seed, Seconds at)
-        : host(h), terms(t), chance(static_cast<std::uint32_t>(seed ^ (seed >> 32))), start(at), now(at) {
+        : host(h),
+          terms(t),
+          chance(static_cast<std::uint32_t>(seed ^ (seed >> 32))),
+          start(at),
+          now(at),
+          freshness(bounds_of(terms), at) {
         read_terms();
         wake_within(kBeatIdle);
-        if (terms.one_of<bool>("list.told", {{"asked", true}, {"unasked", false}}, "unasked"))
-            host.follow_list();
+        if (!list_is_pushed(terms)) host.follow_list();
     }
 
     // --- Terms ------------------------------------------------------------------------------------------
+    // Without a time within which changes count as told, a list that can't be confirmed holds.
+    static ListFreshness::Bounds bounds_of(const TermsReader& terms) {
+        constexpr Seconds kUnbounded = ListFreshness::kUnbounded;
+        ListFreshness::Bounds bounds;
+        bounds.told_within =
+            std::min(terms.have("list.told_within", kUnbounded), terms.have("rules.ask_within", kUnbounded));
+        if (!terms.has("list.told_within")) bounds.told_within = kUnbounded;
+        bounds.told_after_move = terms.have("list.told_after_move", kUnbounded);
+        bounds.drain_grace = terms.need("rules.drain_grace");
+        bounds.pushed = terms.has("list.told_within") && list_is_pushed(terms);
+        return bounds;
+    }
+    static bool list_is_pushed(const TermsReader& terms) {
+        return !terms.one_of<bool>("list.told", {{"asked", true}, {"unasked", false}}, "unasked");
+    }
     Seconds drain_grace, fall_window, warm_within, window, least_time, vote_life, vote_wait;
     double sidecars, back_votes, cold_share, fall_multiple, allowance, first_cap;
     double part_each;  // of the evidence that a back vote needs, where several must agree
@@ -345,6 +372,35 @@
         serve_waiting();
     }
 
+    // --- Rule 3: nothing new to a draining or gone pod --------------------------------------------------
+    // Danger: a list that can't be confirmed says less and less. A pod that it calls ready gets nothing new
+    // once an end of it would count as told for longer than the grace, unless the pod itself showed since
+    // that it takes new work. Harms while the register is down for long: what is sent shrinks to such pods.
+    bool known_ready(const Pod& pod) const {
+        return pod.line.state == PodState::ready && now <= freshness.usable_until(pod.ready_at);
+    }
+    bool list_expired() const { return now > freshness.usable_until(); }
+    // A pod that drains turns new work away, so one that took an attempt was ready when that was written. But
+    // only if it is the process that is listed: an address may have come to another one. A connection that
+    // was opened when the listed one was known to be up still leads to it, for as long as it lasts.
+    void note_ready(Pod& pod, Outcome outcome, const AttemptTimes& times) {
+        const auto confirmed = freshness.confirmed_at();
+        const bool took_it = outcome == Outcome::succeeded || outcome == Outcome::failed;
+        if (!took_it || !confirmed) return;
+        const Seconds known = pod.ready_at ? std::max(*pod.ready_at, *confirmed) : *confirmed;
+        if (times.connected <= known) pod.ready_at = std::max(known, times.written);
+    }
+    void look_at_list() {
+        const bool was = std::exchange(expired, list_expired());
+        if (was == expired) return;
+        const auto usable =
+            std::count_if(pods.begin(), pods.end(), [&](auto& e) { return known_ready(e.second); });
+        host.note(expired ? "list expired: of " + std::to_string(pods.size()) + " pods " +
+                                std::to_string(usable) +
+                                " are known to be ready by their answers; nothing new to the others"
+                          : "list holds again: " + std::to_string(usable) + " pods ready");
+    }
+
     // --- Rule 2: no effect twice ------------------------------------------------------------------------
     bool may_repeat_at(const Invocation& inv, const PodLine& pod) const {
         const Cover& cover = covers[inv.op.value];
@@ -388,7 +444,7 @@
     bool resting(const Pod& pod) const { return now < pod.rest_until || (pod.rest_for > 0 && !pod.proving); }
 
     bool may_go(const Invocation& inv, Pod& pod, Ways& ways) {
-        if (pod.line.state != PodState::ready || !may_repeat_at(inv, pod.line)) return false;
+        if (!known_ready(pod) || !may_repeat_at(inv, pod.line)) return false;
         auto way = ways.open.find(pod.line.build);
         if (way == ways.open.end()) {
             const bool free = !goes_back_on_key(inv, pod.line.build) && may_expose(inv, pod.line.build);
@@ -472,7 +528,8 @@
         const bool in_turn = !inv.dispatches.empty() || waiting.empty();
         if (Pod* pod = in_turn ? pick(inv) : nullptr) return send(id, inv, *pod);
         // Danger: what is held when this sidecar stands still comes too late. Once it did, it holds none.
-        if (!any_place(inv)) return give_up(id, inv, GiveUpReason::no_pod);
+        if (!any_place(inv))
+            return give_up(id, inv, list_expired() ? GiveUpReason::list_expired : GiveUpReason::no_pod);
         if (now < woke + kWary) return give_up(id, inv, GiveUpReason::stood_still);
         const auto ahead = std::count_if(waiting.begin(), waiting.end(), [&](InvId each) {
             const auto it = open.find(each);
@@ -490,7 +547,7 @@
     bool any_place(const Invocation& inv) const {
         return std::any_of(pods.begin(), pods.end(), [&](auto& entry) {
             const PodLine& line = entry.second.line;
-            return line.state == PodState::ready && may_repeat_at(inv, line) &&
+            return known_ready(entry.second) && may_repeat_at(inv, line) &&
                    !(on_trial(line.build) && cap_of(line.build) <= 0);
         });
     }
@@ -512,6 +569,8 @@
                 send(id, inv, *pod);
             else if (now > hope_until(inv))
                 give_up(id, inv, GiveUpReason::no_hope);
+            else if (list_expired() && !any_place(inv))
+                give_up(id, inv, GiveUpReason::list_expired);
             else
                 waiting.push_back(id);
         }
@@ -790,6 +849,7 @@
     void beat(AlarmId alarm) {
         if (alarm != kBeatAlarm || now < next_beat - kBeat / 4) return;
         ask_for_list();
+        look_at_list();
         look_at_resting();
         serve_waiting();
         if (now >= next_judging) {
@@ -821,23 +881,31 @@
         std::size_t ready = 0;
         for (const auto& [id, pod] : pods) ready += pod.line.state == PodState::ready;
         most_ready = std::max(most_ready, ready);
-        if (kind != ListKind::warm_copy) ask_wait = kAskAgain, lost_at = kNever;
+        // Danger: after a move the watch at the old address still tells; what the new one had to tell may
+        // count as told. Only the watch at the new one confirms.
+        if (kind != ListKind::warm_copy && !freshness.moving()) confirmed();
         serve_waiting();
     }
+    void confirmed() {
+        freshness.confirmed(now);
+        calls_failed = 0;
+    }
     // Danger: without a watch we count as told of changes we never saw. So it is asked for again, and nothing
     // beside it: it begins with what was missed, or else with all, and whoever tells the list has many
     // callers. A second call for the whole list keeps them from getting through just when they need to.
     // Danger: with hundreds of callers the service works only on calls that have waited too long, and for as
-    // long as they call again soon it answers nobody. So after a few calls in a row each calls only as often
-    // as it can bear from all sidecars. Harms after a long outage: one of hundreds may be that much later.
-    void lost() {
-        const Seconds turn = std::max(kAskMost, sidecars / kAskRate);
-        const bool first = lost_at == kNever;
-        if (first) lost_at = now;
-        const bool eager = first || (turn <= kAskEager && now < lost_at + kAskEager);
-        if (!eager) ask_wait = std::max(ask_wait, turn);
-        ask_at = now + ask_wait * draw(ask_wait < turn ? 0.5 : 0.2, 1);
-        ask_wait = std::min(eager ? kAskMost : turn, 2 * ask_wait);
+    // long as they call again soon it answers nobody. So the waits double, from what it would take to answer
+    // all sidecars quickly to what it takes slowly, and are scattered over their whole length.
+    void lost(ListLoss loss) {
+        freshness.lost(now, loss);
+        const bool alone =
+            calls_failed == 0 && freshness.confirmed_at();  // no call of the fleet's failed yet
+        const double doubled = std::exp2(std::min(calls_failed, kAskDoublings));
+        ++calls_failed;
+        const Seconds own = kAskAgain * doubled;
+        const Seconds fleet = alone ? 0 : sidecars / kAskRateMost * std::max(1.0, doubled / 2);
+        const Seconds longest = std::max(kAskMost, sidecars / kAskRateLeast);
+        ask_at = now + std::min(longest, std::max(own, fleet)) * draw(own > fleet ? 0.5 : 0.2, 1);
     }
 
     void taken(InvId id, Operation op, Customer customer, std::optional<ObjectKey> key, Seconds budget) {
@@ -856,7 +924,8 @@
         place(id, kept);
     }
 
-    void ended(InvId id, DispatchNo no, const PodId& pod_id, Outcome outcome, Seconds took, bool concluded) {
+    void ended(InvId id, DispatchNo no, const PodId& pod_id, Outcome outcome, Seconds took, bool concluded,
+               const AttemptTimes& times) {
         const auto it = open.find(id);
         if (it == open.end()) return;
         Invocation& inv = it->second;
@@ -868,6 +937,7 @@
             outcome != Outcome::full && outcome != Outcome::unreachable && outcome != Outcome::moot;
         Pod& pod = pods[d.pod.pod];
         pod.out = std::max(0, pod.out - 1);
+        note_ready(pod, outcome, times);
         Cover& cover = covers[inv.op.value];
         switch (outcome) {
             case Outcome::succeeded:
@@ -932,12 +1002,13 @@
         const auto it = open.find(id);
         if (it == open.end() || it->second.concluded || no != it->second.last_no()) return false;
         Dispatch& d = it->second.dispatches.back();
-        const PodLine& line = pods[d.pod.pod].line;
+        const Pod& pod = pods[d.pod.pod];
+        const PodLine& line = pod.line;
         d.may_have_run = false;  // not yet
         const bool repeats = may_repeat_at(it->second, line);
         d.may_have_run = true;
-        d.recalled = line.state != PodState::ready || line.build != d.pod.build ||
-                     line.started != d.pod.started || !repeats ||
+        d.recalled = !known_ready(pod) || line.build != d.pod.build || line.started != d.pod.started ||
+                     !repeats ||
                      (on_trial(line.build) && (cap_of(line.build) <= 0 || afresh > d.sent + drain_grace));
         return !d.recalled && now < it->second.ends;
     }
@@ -1010,7 +1081,10 @@
 void Choice::pods_listed(Seconds t, ListKind kind, const std::vector<PodLine>& lines) {
     at(t).listed(kind, lines);
 }
-void Choice::list_lost(Seconds now) { at(now).lost(); }
+void Choice::list_confirmed(Seconds now) { at(now).confirmed(); }
+void Choice::list_unread(Seconds now) { at(now).freshness.unread(now); }
+void Choice::list_moved(Seconds now) { at(now).freshness.moved(now); }
+void Choice::list_lost(Seconds now, ListLoss loss) { at(now).lost(loss); }
 void Choice::invocation_taken(Seconds now, InvId inv, Operation op, Customer customer,
                               std::optional<ObjectKey> key, Seconds budget, std::optional<Seconds>) {
     at(now).taken(inv, op, customer, key, budget);
@@ -1024,8 +1098,8 @@
 }
 void Choice::stream_begun(Seconds now, InvId inv, DispatchNo no) { at(now).begun(inv, no); }
 void Choice::dispatch_ended(Seconds now, InvId inv, DispatchNo no, const PodId& pod, Outcome outcome,
-                            Seconds took, bool concluded, const Load&) {
-    at(now).ended(inv, no, pod, outcome, took, concluded);
+                            Seconds took, bool concluded, const Load&, const AttemptTimes& times) {
+    at(now).ended(inv, no, pod, outcome, took, concluded, times);
 }
 bool Choice::still_good(Seconds now, InvId inv, DispatchNo no) { return at(now).still_good(inv, no); }
 void Choice::invocation_dropped(Seconds now, InvId inv) { at(now).dropped(inv); }
--- /dev/null
+++ b/src/list_freshness.hpp
@@ -0,0 +1,47 @@
+// Until when the list of pods may be acted on. A pod that drains or has left must get nothing new once its
+// grace is over, counted from when the change was told; and a change counts as told a bounded time after the
+// register had it, whether or not this sidecar has read it. So what a list says of a pod holds for a bounded
+// time after it was last confirmed, as a lease does. No I/O and no clock: every call carries the time.
+#pragma once
+
+#include <optional>
+
+#include "words.hpp"
+
+namespace tideline {
+
+class ListFreshness {
+  public:
+    static constexpr Seconds kUnbounded = std::numeric_limits<Seconds>::infinity();
+    // Times in seconds; from the protocol and the settings.
+    struct Bounds {
+        Seconds told_within = kUnbounded;  // after the register had it a change counts as told, read or not
+        Seconds told_after_move = 0;  // after the register moved, all that it had until then counts as told
+        Seconds drain_grace = 0;      // after it was told, sending to a draining or gone pod has to stop
+        bool pushed = false;          // changes count as told at once, whether or not a watch is open
+    };
+    // `now`: of a process that knows but a copy of the list, of unknown age.
+    ListFreshness(const Bounds& bounds, Seconds now);
+
+    // The watch spoke: all that was told by `now` has been read.
+    void confirmed(Seconds now);
+    void lost(Seconds now, ListLoss loss);
+    // Something was told that is not whole yet, or can't be read.
+    void unread(Seconds now);
+    // The register is to be watched at another address; what confirms is the watch there.
+    void moved(Seconds now);
+    bool moving() const { return moved_at_.has_value(); }
+
+    // Whether there was ever more than the copy of the start, and when that was last confirmed.
+    std::optional<Seconds> confirmed_at() const { return confirmed_at_; }
+    // The last moment for something new to a pod that was known to be ready at `ready_at`, by its own
+    // answers, or by the list alone.
+    Seconds usable_until(std::optional<Seconds> ready_at = {}) const;
+
+  private:
+    const Bounds bounds_;
+    const Seconds started_;
+    std::optional<Seconds> confirmed_at_, unread_since_, moved_at_, pushed_lost_at_;
+};
+
+}  // namespace tideline
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -10,38 +10,45 @@
   public:
     Stream(Call& call, std::string path, Seconds first, Seconds silence)
         : Link(call.loop_), call_(call), path_(std::move(path)), first_(first), silence_(silence) {
-        wait(kPeerConnect, "no connection");
+        wait(kPeerConnect, {ListLoss::ended, "no connection"});
         open(call.address_);
     }
     ~Stream() override {
         loop_.due.cancel(limit_);
         loop_.due.cancel(whole_by_);
+        loop_.due.cancel(settled_);
     }
+    bool urgent() const override { return true; }
 
   protected:
     void came_up() override {
         put(fmt::format("GET {} HTTP/1.1\r\nHost: peer\r\nAccept: application/json\r\n\r\n", path_));
-        wait(first_, "silent");
+        wait(first_, {ListLoss::silent, "silent"});
     }
     void came_in() override {
         const std::size_t used = reader_.take(in_.all(), *this);
         if (closed()) return;
-        wait(call_.spoke_ ? silence_ : first_, "silent");
+        wait(call_.spoke_ ? silence_ : first_, {ListLoss::silent, "silent"});
         in_.drop(used);
-        if (lost_.empty() && reader_.broken()) lost_ = "broken answer";
-        if (!lost_.empty()) return call_.lose(lost_);
+        if (!lost_ && reader_.broken()) lost_ = CallLoss{ListLoss::unread, "broken answer"};
+        if (lost_) return call_.lose(*lost_);
         if (whole_) call_.told_.whole();
     }
     void ended() override {
         reader_.connection_ended(*this);
-        if (whole_ && lost_.empty()) return call_.told_.whole();
-        call_.lose("ended");
+        if (whole_ && !lost_) return call_.told_.whole();
+        call_.lose({objects_.within() ? ListLoss::unread : ListLoss::ended, "ended"});
     }
     void head(int status) override {
-        if (status != 200) lost_ = fmt::format("status {}", status);
+        if (status != 200) lost_ = CallLoss{ListLoss::ended, fmt::format("status {}", status)};
+        if (lost_ || !call_.told_.accepted) return;
+        settled_ = loop_.due.at(clock_now() + kHeadSettled, [this] {
+            settled_ = Due::kNone;
+            if (!closed() && !call_.spoke_ && !objects_.within()) call_.told_.accepted();
+        });
     }
     void body(std::string_view bytes) override {
-        if (!lost_.empty()) return;
+        if (lost_) return;
         const auto read = objects_.add(bytes, kObjectMost, [&](const std::string& text) {
             if (closed()) return;
             call_.spoke_ = true;
@@ -49,28 +56,28 @@
             call_.told_.object(text);
         });
         if (closed()) return;
-        if (read == Objects::Read::broken) lost_ = "what can't be read";
-        if (read == Objects::Read::endless) lost_ = "endless object";
+        if (read == Objects::Read::broken) lost_ = CallLoss{ListLoss::unread, "what can't be read"};
+        if (read == Objects::Read::endless) lost_ = CallLoss{ListLoss::unread, "endless object"};
         // Danger: one that was cut off is waited for in vain, and signs of life go on behind it.
-        if (!objects_.within())
-            loop_.due.cancel(whole_by_);
-        else if (whole_by_ == Due::kNone)
-            whole_by_ = loop_.due.at(clock_now() + kObjectWithin, [this] {
-                whole_by_ = Due::kNone;
-                if (!closed()) call_.lose("half an object");
-            });
+        if (!objects_.within()) return loop_.due.cancel(whole_by_);
+        if (whole_by_ != Due::kNone) return;
+        whole_by_ = loop_.due.at(clock_now() + kObjectWithin, [this] {
+            whole_by_ = Due::kNone;
+            if (!closed()) call_.lose({ListLoss::unread, "half an object"});
+        });
+        if (call_.told_.begun) call_.told_.begun();
     }
     void end() override {
-        if (objects_.within()) lost_ = "half an object";
+        if (objects_.within()) lost_ = CallLoss{ListLoss::unread, "half an object"};
         whole_ = true;
     }
 
   private:
-    void wait(Seconds span, const char* why) {
+    void wait(Seconds span, const CallLoss& loss) {
         loop_.due.cancel(limit_);
-        limit_ = loop_.due.at(clock_now() + span, [this, why] {
+        limit_ = loop_.due.at(clock_now() + span, [this, loss] {
             limit_ = Due::kNone;
-            if (!closed()) call_.lose(why);
+            if (!closed()) call_.lose(loss);
         });
     }
     Call& call_;
@@ -79,8 +86,8 @@
     HttpReader reader_;
     Objects objects_;
     bool whole_ = false;
-    std::string lost_;
-    Due::Key limit_ = Due::kNone, whole_by_ = Due::kNone;
+    std::optional<CallLoss> lost_;
+    Due::Key limit_ = Due::kNone, whole_by_ = Due::kNone, settled_ = Due::kNone;
 };
 
 Call::Call(Loop& loop, Address address) : loop_(loop), address_(address) {}
@@ -99,10 +106,11 @@
     loop_.bury(std::move(link_));
 }
 
-void Call::lose(const std::string& why) {
+void Call::lose(const CallLoss& loss) {
+    const CallLoss kept = loss;  // it may be of the stream that is dropped
     drop();
     const auto lost = told_.lost;  // it may begin the next call
-    lost(why);
+    lost(kept);
 }
 
 }  // namespace tideline::net
--- a/src/net/call.hpp
+++ b/src/net/call.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "net/http.hpp"
@@ -12,12 +13,21 @@
 
 namespace tideline::net {
 
+// Why a call ended before its answer had come to its end.
+struct CallLoss {
+    ListLoss kind = ListLoss::ended;
+    std::string why;  // for the log
+};
+
 class Call {
   public:
     struct Told {
         std::function<void(const std::string& text)> object;  // empty: a sign of life
         std::function<void()> whole;                          // the answer has come to its end
-        std::function<void(const std::string& why)> lost;     // before that
+        std::function<void(const CallLoss& loss)> lost;       // before that
+        std::function<void()> begun = {};                     // an object has begun and is not whole yet
+        // The call was accepted, and there is nothing to tell at once.
+        std::function<void()> accepted = {};
     };
     Call(Loop& loop, Address address);
     void move(Address address) { address_ = address; }  // the next one begins there
@@ -30,7 +40,7 @@
 
   private:
     class Stream;
-    void lose(const std::string& why);
+    void lose(const CallLoss& loss);
     Loop& loop_;
     Address address_;
     std::unique_ptr<Stream> link_;
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -27,8 +27,12 @@
     return told.list && told.clear;
 }
 
-void List::heard() {
+// Danger: after a move the watch at the old address may say nothing is new while the new one has changes to
+// tell, which count as told. It confirms nothing.
+void List::heard(int which) {
     const Seconds now = clock_now();
+    if (moving_ && which == standing_) return;
+    owner_.list_confirmed();
     if (calls_ > 0)
         owner_.list_said(fmt::format(
             "watch stands from revision {}, answered in {:.2f} s, call {} in {:.1f} s without one",
@@ -38,16 +42,16 @@
 }
 
 void List::take(int which, const std::string& text) {
-    heard();
     if (which != standing_) {  // the one that follows speaks: what the old one told was all taken
         watches_[standing_].drop();
         standing_ = which;
+        moving_ = false;
     }
-    if (text.empty()) return;  // a sign of life
+    if (text.empty()) return heard(which);  // a sign of life
     const json list = json::parse(text, nullptr, false);
-    if (!list.is_discarded() && read(list, false)) return;
+    if (!list.is_discarded() && read(list, false)) return heard(which);
     watches_[which].drop();
-    lost(which, "what can't be read");
+    lost(which, {ListLoss::unread, "what can't be read"});
 }
 
 // Danger: what was lost before the watch stood counts as told; so the watch names the last state known.
@@ -60,9 +64,10 @@
                           {[this, which](const std::string& text) { take(which, text); },
                            [this, which] {
                                watches_[which].drop();
-                               lost(which, "ended");
+                               lost(which, {ListLoss::ended, "ended"});
                            },
-                           [this, which](const std::string& why) { lost(which, why); }});
+                           [this, which](const CallLoss& loss) { lost(which, loss); },
+                           [this] { owner_.list_unread(); }, [this, which] { take(which, {}); }});
 }
 void List::follow() { watch(standing_); }
 
@@ -72,23 +77,26 @@
     if (address == address_) return;
     address_ = address, pause_ = kReopenFirst;
     for (Call& call : watches_) call.move(address);
-    if (watches_[standing_].open()) watch(1 - standing_);
+    owner_.list_moved();
+    moving_ = watches_[standing_].open();
+    if (moving_) watch(1 - standing_);
 }
-void List::lost(int which, const std::string& why) {
+void List::lost(int which, const CallLoss& loss) {
     if (which != standing_) {
         again_ = loop_.due.at(clock_now() + pause_, [this, which] { watch(which); });
         pause_ = std::min(kReopenMost, 2 * pause_);
     } else if (watches_[1 - which].open()) {
         standing_ = 1 - which;
+        moving_ = false;
     } else {
         loop_.due.cancel(again_);
+        moving_ = false;
         const Seconds now = clock_now();
-        owner_.list_lost(
-            calls_ == 0
-                ? fmt::format("watch: {}; revision {}", why, listing_.revision())
-                : fmt::format(
-                      "watch: {}; revision {}, {:.1f} s old; call {} in a row, {:.2f} s after it was made",
-                      why, listing_.revision(), now - heard_at_, calls_, now - called_at_));
+        std::string why = fmt::format("watch: {}; revision {}", loss.why, listing_.revision());
+        if (calls_ > 0)
+            why += fmt::format(", {:.1f} s old; call {} in a row, {:.2f} s after it was made",
+                               now - heard_at_, calls_, now - called_at_);
+        owner_.list_lost(loss.kind, why);
     }
 }
 
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -19,7 +19,10 @@
         virtual ~Owner() = default;
         virtual void listed(ListKind kind, const std::vector<PodLine>& lines,
                             const std::vector<Address>& addresses) = 0;
-        virtual void list_lost(const std::string& why) = 0;
+        virtual void list_confirmed() = 0;  // the watch spoke; what it told was handed over
+        virtual void list_unread() = 0;     // something has begun to arrive
+        virtual void list_moved() = 0;      // it is watched at another address from now on
+        virtual void list_lost(ListLoss loss, const std::string& why) = 0;
         // For the log: a call was made, a watch stands again.
         virtual void list_said(const std::string& what) = 0;
         // False for a state older than one that was handed over since.
@@ -38,8 +41,8 @@
   private:
     void watch(int which);
     void take(int which, const std::string& text);
-    void lost(int which, const std::string& why);
-    void heard();                                      // by the watch, a sign of life or more
+    void lost(int which, const CallLoss& loss);
+    void heard(int which);                             // by the watch, a sign of life or more
     bool read(const nlohmann::json& list, bool warm);  // false: it has to be asked for again
     Loop& loop_;
     Owner& owner_;
@@ -47,6 +50,7 @@
     Address address_;
     Call watches_[2];  // the one that stands, and after a move the one that is to follow it
     int standing_ = 0;
+    bool moving_ = false;  // the watch that stands is at the address before
     Seconds pause_ = kReopenFirst;
     int calls_ = 0;          // in a row, none of them answered yet
     Seconds called_at_ = 0;  // the last of them
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -56,6 +56,12 @@
         for (const pollfd& each : polled_)
             if (each.revents != 0)
                 ready.push_back({each.fd, each.revents, seats_[static_cast<std::size_t>(each.fd)].since});
+        // Danger: a process that stood still finds its clients' requests beside what it was told meanwhile. A
+        // request that is read first would be decided on by what holds no more.
+        std::stable_partition(ready.begin(), ready.end(), [&](const Ready& each) {
+            const Seat& seat = seats_[static_cast<std::size_t>(each.fd)];
+            return seat.watcher && seat.watcher->urgent();
+        });
         for (const Ready& each : ready) {
             const Seat& seat = seats_[static_cast<std::size_t>(each.fd)];
             if (seat.watcher && seat.since == each.since) seat.watcher->ready(each.events);
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -16,6 +16,8 @@
   public:
     virtual ~Watcher() = default;
     virtual void ready(short events) = 0;
+    // Whether it is read before others that are ready in the same pass.
+    virtual bool urgent() const { return false; }
 };
 
 // Unix time at the start, carried on by a clock that never goes back.
--- a/src/net/platform.cpp
+++ b/src/net/platform.cpp
@@ -167,7 +167,7 @@
         feeds_[which].begin("/api/feed", kFeedSilence, 1e9,
                             {[this, which](const std::string& text) { feed_told(which, text); },
                              [this, which] { feed_lost(which, "ended"); },
-                             [this, which](const std::string& why) { feed_lost(which, why); }});
+                             [this, which](const CallLoss& loss) { feed_lost(which, loss.why); }});
     }
     const double unit = static_cast<double>(chance_()) / static_cast<double>(chance_.max());
     tend_after(pause_ * (0.5 + unit));
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -72,6 +72,9 @@
     list_.begin(slip.known);
     platform_.read_state(slip.news);
     platform_.begin();
+    // A list that is pushed comes over a watch too; the module only asks for one that is not.
+    if (const auto told = terms_.find("list.told"); told == terms_.end() || told->second != Term{"asked"})
+        list_.follow();
     if (!clients_.listen(slip.listen))
         throw std::runtime_error("can't listen: " + std::string(std::strerror(errno)));
     log_.line("{} listens; {} descriptors", slip.name, sockets_);
@@ -191,7 +194,7 @@
     return good;
 }
 void Sidecar::dispatch_ended(InvId inv, DispatchNo no, const PodId& pod, Outcome outcome, Seconds took,
-                             const Load& load, std::string_view answer) {
+                             const Load& load, const AttemptTimes& times, std::string_view answer) {
     Held* held = held_.find(inv.value);
     if (!must(held, "what was dispatched is held")) return;
     --held->out;
@@ -199,7 +202,7 @@
     if (held->effect != Effect::idempotent) surety_->ended(inv, no, outcome, answer);
     const bool serves = outcome == Outcome::succeeded && !held->concluded;
     if (serves) over(*held), clients_.answer(held->client, answer);
-    choice_->dispatch_ended(clock_now(), inv, no, pod, outcome, took, held->concluded, load);
+    choice_->dispatch_ended(clock_now(), inv, no, pod, outcome, took, held->concluded, load, times);
     settle(inv);
 }
 void Sidecar::probe_ended(const PodId& pod, Outcome outcome, Seconds took, const Load& load) {
@@ -292,10 +295,10 @@
     listed_ = true;
     clients_.wake();
 }
-void Sidecar::list_lost(const std::string& why) {
+void Sidecar::list_lost(ListLoss loss, const std::string& why) {
     ++lost_;
     log_.line("list lost: {}", why);
-    choice_->list_lost(clock_now());
+    choice_->list_lost(clock_now(), loss);
 }
 bool Sidecar::takes_revision(std::int64_t revision) {
     return !onlooker_ || onlooker_->takes_revision(revision);
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -86,12 +86,15 @@
     std::string statement_for(InvId inv, Seconds stop_at) override;
     bool still_good(InvId inv, DispatchNo no) override;
     void dispatch_ended(InvId inv, DispatchNo no, const PodId& pod, Outcome outcome, Seconds took,
-                        const Load& load, std::string_view answer) override;
+                        const Load& load, const AttemptTimes& times, std::string_view answer) override;
     void probe_ended(const PodId& pod, Outcome outcome, Seconds took, const Load& load) override;
     // List::Owner
     void listed(ListKind kind, const std::vector<PodLine>& lines,
                 const std::vector<Address>& addresses) override;
-    void list_lost(const std::string& why) override;
+    void list_confirmed() override { choice_->list_confirmed(clock_now()); }
+    void list_unread() override { choice_->list_unread(clock_now()); }
+    void list_moved() override { choice_->list_moved(clock_now()); }
+    void list_lost(ListLoss loss, const std::string& why) override;
     void list_said(const std::string& what) override { log_.line("list: {}", what); }
     bool takes_revision(std::int64_t revision) override;
     // Platform::Owner
--- a/src/net/slip.cpp
+++ b/src/net/slip.cpp
@@ -6,6 +6,7 @@
 #include <stdexcept>
 
 #include "choice.hpp"
+#include "net/limits.hpp"
 #include "terms_of.hpp"
 
 namespace tideline::net {
@@ -81,6 +82,8 @@
     if (!from.contains("settings") || !from["settings"].is_object())
         throw std::runtime_error("missing: settings");
     slip.terms = terms_of(from["settings"]);
+    slip.terms["list.told_within"] = kListToldWithin;
+    slip.terms["list.told_after_move"] = kListToldAfterMove;
     check_terms(slip);
     return slip;
 }
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -43,14 +43,16 @@
     shed,           // a part of what is taken is not sent while answers come late
     over_share,     // its customer sends more than its share while others wait
     no_pod,         // no listed pod may take it
+    list_expired,   // the list is past its time, and no pod is known to be ready otherwise
     stood_still,    // this sidecar stood still a moment ago and lets nothing wait
     no_hope,        // waiting longer would bring no answer within the objective
     out_of_time,    // its dispatch timed out at its time limit
     never_sent,     // its dispatch ended without a connection, too late for another
 };
 constexpr int kGiveUpReasons = static_cast<int>(GiveUpReason::never_sent) + 1;
-constexpr const char* kGiveUpNames[kGiveUpReasons] = {
-    "attempts used", "shed", "over share", "no pod", "stood still", "no hope", "out of time", "never sent"};
+constexpr const char* kGiveUpNames[kGiveUpReasons] = {"attempts used", "shed",         "over share",
+                                                      "no pod",        "list expired", "stood still",
+                                                      "no hope",       "out of time",  "never sent"};
 
 // Answers counted for or against a build.
 struct Count {
--- a/src/terms.hpp
+++ b/src/terms.hpp
@@ -24,6 +24,7 @@
             throw std::invalid_argument("term out of range: " + name);
         return *value;
     }
+    bool has(const std::string& name) const { return terms_.contains(name); }
     bool allows(const std::string& name) const { return have(name, 0) != 0; }
     template <class Value>
     Value one_of(const std::string& name, const std::map<std::string, Value>& known,
--- a/src/words.hpp
+++ b/src/words.hpp
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <variant>
@@ -29,9 +30,17 @@
 
 using Seconds = double;
 
+// When the connection that an attempt went out on was opened, and when the attempt was written to it.
+struct AttemptTimes {
+    Seconds connected = std::numeric_limits<Seconds>::infinity();  // not known
+    Seconds written = 0;
+};
+
 enum class Outcome { succeeded, failed, full, timed_out, unreachable, broken, spoilt, withdrawn, moot };
 enum class PodState { ready, draining, gone };
 enum class ListKind { changes, whole, warm_copy };
+// How a watch of the list was lost: it ended, or a call failed; it said nothing; it told what can't be read.
+enum class ListLoss { ended, silent, unread };
 enum class Phase { trial, reverting, released, withdrawn };
 enum class Vote { none, on, hold, back };
 enum class VoteReply { counted, ignored, full, failed, timed_out };
--- a/tests/stale_list.cpp
+++ b/tests/stale_list.cpp
@@ -31,6 +31,8 @@
     Rig rig(1);
     rig.begin();
     Peer client = rig.client();
+    rig.watch.send(chunk("\n"));  // nothing has changed
+    rest(0.1);
     rig.watch.close();
     const double lost = now();
     refuse_calls(rig, lost + 3);
