--- /dev/null
+++ b/tests/list_freshness.cpp
@@ -0,0 +1,303 @@
+// Until when a list of pods is acted on: the bounds worked out by hand, and random runs against a register
+// whose changes count as told whether or not they were read.
+#include "list_freshness.hpp"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "helpers.hpp"
+
+using namespace tideline;
+using namespace tideline::test;
+
+namespace {
+
+constexpr Seconds kToldWithin = 6, kAfterMove = 4, kGrace = 1;
+
+ListFreshness::Bounds bounds(bool pushed = false) {
+    ListFreshness::Bounds bounds;
+    bounds.told_within = kToldWithin, bounds.told_after_move = kAfterMove;
+    bounds.drain_grace = kGrace, bounds.pushed = pushed;
+    return bounds;
+}
+Terms bounded_terms() {
+    Terms terms = basic_terms();
+    terms["list.told"] = std::string("asked");
+    terms["list.told_within"] = kToldWithin, terms["list.told_after_move"] = kAfterMove;
+    terms["rules.drain_grace"] = kGrace;
+    return terms;
+}
+
+// What is true of one pod.
+struct TruePod {
+    int process = 0;
+    PodState state = PodState::ready;
+    Seconds changes_at = 0;
+    std::vector<std::pair<int, Seconds>> connections;  // to which process, opened when
+};
+
+// A change that the register has; told when it was written to the sidecar, or a bounded time after it was
+// made.
+struct Change {
+    PodLine line;
+    Seconds made = 0, written = std::numeric_limits<Seconds>::infinity();
+    Seconds told() const { return std::min(written, made + kToldWithin); }
+};
+
+// Pods that drain, leave and come back as other processes; a register that loses its watches, refuses calls,
+// and tells in time, late, or in part. The check knows what counts as told; the module only what it read.
+class World : public Notebook {
+  public:
+    explicit World(unsigned seed) : rng_(seed) {
+        for (int i = 0; i < kPods; ++i) {
+            const PodLine line = pod(std::string(1, static_cast<char>('a' + i)), 1);
+            lines_.push_back(line);
+            pods_[line.pod].changes_at = now_ + draw(0, 20);
+        }
+        choice_ = std::make_unique<Choice>(*this, bounded_terms(), seed, now_);
+        choice_->pods_listed(now_, ListKind::warm_copy, lines_);
+    }
+    void run(Seconds span) {
+        for (const Seconds until = now_ + span; now_ < until;) step();
+    }
+    long sent = 0, held = 0;
+
+    void dispatch(InvId inv, const PodId& id, Seconds) override {
+        ++sent;
+        check(id);
+        outcomes_.push_back({inv, id});
+    }
+    void throttle(InvId, Seconds) override { ++held; }
+    void follow_list() override { call_at_ = now_ + 0.05; }
+
+  private:
+    static constexpr int kPods = 8;
+    struct Sent {
+        InvId inv;
+        PodId pod;
+    };
+    double draw(double from, double to) { return std::uniform_real_distribution<double>(from, to)(rng_); }
+    bool chance(double p) { return draw(0, 1) < p; }
+
+    // Rule 3: what counts as told of the pod is that it drains or is gone, for longer than the grace.
+    void check(const PodId& id) {
+        const Change* last = nullptr;
+        for (const Change& change : changes_)
+            if (change.line.pod == id && change.told() <= now_) last = &change;
+        if (!last || last->line.state == PodState::ready) return;
+        CAPTURE(id.value, now_, last->made, last->written);
+        REQUIRE(now_ <= last->told() + kGrace);
+    }
+    void change_pods() {
+        for (PodLine& line : lines_) {
+            TruePod& each = pods_[line.pod];
+            if (now_ < each.changes_at) continue;
+            switch (each.state) {
+                case PodState::ready:
+                    each.state = PodState::draining, each.changes_at = now_ + draw(0.5, 3);
+                    break;
+                case PodState::draining:
+                    each.state = PodState::gone, each.changes_at = now_ + draw(0.5, 12);
+                    break;
+                case PodState::gone:
+                    each.state = PodState::ready, each.changes_at = now_ + draw(1, 25);
+                    ++each.process;
+                    break;
+            }
+            line.state = each.state;
+            changes_.push_back({line, now_ + draw(0.05, 0.3)});  // the register hears of it a little later
+        }
+    }
+    // All that was not written yet, in order; false if the watch is cut off within it.
+    bool tell() {
+        std::vector<PodLine> news;
+        for (Change& change : changes_)
+            if (change.made <= now_ && change.written > now_)
+                change.written = now_, news.push_back(change.line);
+        if (!news.empty() && chance(0.1)) {
+            choice_->list_unread(now_);
+            return false;
+        }
+        if (std::exchange(untold_, false)) news = told_lines();
+        if (!news.empty()) choice_->pods_listed(now_, ListKind::changes, news);
+        choice_->list_confirmed(now_);
+        return true;
+    }
+    std::vector<PodLine> told_lines() const {
+        std::map<PodId, PodLine> last;
+        for (const PodLine& line : lines_) last[line.pod] = line, last[line.pod].state = PodState::ready;
+        for (const Change& change : changes_)
+            if (change.made <= now_) last[change.line.pod] = change.line;
+        std::vector<PodLine> lines;
+        for (const auto& [id, line] : last) lines.push_back(line);
+        return lines;
+    }
+    void lose(ListLoss loss) {
+        watching_ = false, untold_ = true;
+        choice_->list_lost(now_, loss);
+    }
+    void keep_watch() {
+        if (watching_ && chance(0.002)) {
+            if (chance(0.5)) out_until_ = now_ + draw(0, 25);
+            return lose(chance(0.5) ? ListLoss::ended : ListLoss::silent);
+        }
+        const bool news = std::any_of(changes_.begin(), changes_.end(),
+                                      [&](auto& c) { return c.made <= now_ && c.written > now_; });
+        if (watching_ && (news || now_ >= sign_at_)) {
+            sign_at_ = now_ + 2;
+            if (!tell()) lose(ListLoss::unread);
+        }
+        if (call_at_ < 0 || now_ < call_at_) return;
+        call_at_ = -1;
+        if (now_ < out_until_) return lose(ListLoss::ended);
+        watching_ = true, sign_at_ = now_ + 2;
+        if (!tell()) lose(ListLoss::unread);
+    }
+    // Each attempt ends in the next step, as the process that its connection leads to has it.
+    void end_attempts() {
+        for (const Sent& each : std::exchange(outcomes_, {})) {
+            TruePod& at = pods_[each.pod];
+            std::erase_if(at.connections, [&](auto& c) { return c.first != at.process || chance(0.02); });
+            AttemptTimes times{now_, now_};
+            if (at.state != PodState::gone && (at.connections.empty() || chance(0.1)))
+                at.connections.push_back({at.process, now_});
+            else if (at.state != PodState::gone)
+                times.connected = at.connections.front().second;
+            const Outcome outcome = at.state == PodState::gone       ? Outcome::unreachable
+                                    : at.state == PodState::draining ? Outcome::full
+                                                                     : Outcome::succeeded;
+            choice_->dispatch_ended(now_, each.inv, DispatchNo{tries_[each.inv]++}, each.pod, outcome, 0.02,
+                                    outcome == Outcome::succeeded, {}, times);
+        }
+    }
+    void step() {
+        now_ += 0.02;
+        change_pods();
+        keep_watch();
+        choice_->alarm_rang(now_, last_alarm);
+        end_attempts();
+        if (chance(0.5)) {
+            const InvId inv{next_++};
+            choice_->invocation_taken(now_, inv, Operation{0}, Customer{0}, {}, 1, {});
+        }
+    }
+
+    std::mt19937 rng_;
+    Seconds now_ = 100, call_at_ = -1, sign_at_ = 0, out_until_ = 0;
+    bool watching_ = false, untold_ = true;
+    std::vector<PodLine> lines_;
+    std::map<PodId, TruePod> pods_;
+    std::vector<Change> changes_;
+    std::vector<Sent> outcomes_;
+    std::map<InvId, int> tries_;
+    std::uint64_t next_ = 1;
+    std::unique_ptr<Choice> choice_;
+};
+
+}  // namespace
+
+TEST_CASE("a list holds for the time within which changes count as told, and the grace") {
+    ListFreshness freshness(bounds(), 100);
+    CHECK(freshness.usable_until() == Approx(100.8));  // a copy may be of any age: the grace, less 0.2 s
+    CHECK(freshness.usable_until(150) == Approx(100.8));
+    freshness.confirmed(110);
+    CHECK(freshness.usable_until() == Approx(116.4));  // 110 + 6 + 1, less 0.2 held up, 0.4 of a late change
+    freshness.lost(112, ListLoss::ended);
+    CHECK(freshness.usable_until() == Approx(116.4));
+    CHECK(freshness.usable_until(114) == Approx(120.8));  // it took an attempt then: 114 + 6 + 1 - 0.2
+    freshness.confirmed(120);
+    CHECK(freshness.usable_until() == Approx(126.4));
+    const ListFreshness unbounded({}, 100);
+    CHECK(unbounded.usable_until() == ListFreshness::kUnbounded);
+}
+
+TEST_CASE("a change that is not whole or can't be read counts as told from its first byte") {
+    ListFreshness freshness(bounds(), 100);
+    freshness.confirmed(110);
+    freshness.unread(111);
+    CHECK(freshness.usable_until() == Approx(111.8));
+    freshness.lost(113, ListLoss::unread);
+    CHECK(freshness.usable_until() == Approx(111.8));
+    CHECK(freshness.usable_until(111.5) == Approx(118.3));  // that pod took work after it was told
+    freshness.confirmed(114);
+    CHECK(freshness.usable_until() == Approx(120.4));
+}
+
+TEST_CASE("after a move only the watch at the new address confirms, within a shorter time") {
+    ListFreshness freshness(bounds(), 100);
+    freshness.confirmed(110);
+    freshness.moved(110.5);
+    freshness.moved(111);  // again before the first is through: the first time counts
+    CHECK(freshness.moving());
+    CHECK(freshness.usable_until() == Approx(115.3));     // 110.5 + 4 + 1 - 0.2
+    CHECK(freshness.usable_until(116) == Approx(116.8));  // all that is told by then
+    freshness.confirmed(117);
+    CHECK_FALSE(freshness.moving());
+}
+
+TEST_CASE("a list that is pushed counts as told without a watch, unless the agent itself is silent") {
+    ListFreshness freshness(bounds(true), 100);
+    freshness.confirmed(110);
+    freshness.lost(112, ListLoss::silent);
+    CHECK(freshness.usable_until() == Approx(116.4));
+    freshness.lost(113, ListLoss::ended);
+    CHECK(freshness.usable_until() == Approx(113.8));
+}
+
+TEST_CASE("past the list's time work goes on to pods that answer on the connections they had") {
+    Sidecar s(bounded_terms());
+    s.choice.pods_listed(s.now, ListKind::whole, {pod("old", 1), pod("new", 1)});
+    const Seconds listed = s.now;
+    s.choice.list_lost(s.now);
+    const auto serve = [&](Seconds span) {
+        for (const Seconds until = s.now + span; s.now < until; s.run(0.1)) {
+            const std::size_t before = s.host.sent.size();
+            const InvId inv = s.take();
+            if (s.host.sent.size() == before) continue;
+            const Sent sent = s.host.sent.back();
+            const bool kept = sent.pod.value == "old";
+            s.choice.dispatch_ended(s.now, inv, DispatchNo{0}, sent.pod, Outcome::succeeded, 0.05, true, {},
+                                    {kept ? listed - 1 : s.now, s.now});
+        }
+    };
+    serve(7);
+    CHECK(s.sent_to("new") > 0);
+    const std::size_t before = s.sent_to("new");
+    serve(20);
+    CHECK(s.sent_to("new") == before);
+    CHECK(s.host.throttled.empty());
+    CHECK(s.host.noted("list expired"));
+    s.choice.list_confirmed(s.now);
+    serve(5);
+    CHECK(s.sent_to("new") > before);
+    CHECK(s.host.noted("list holds again"));
+}
+
+TEST_CASE("what waits, for a pod or for its connection, does not go once the list is past its time") {
+    Sidecar s(bounded_terms());
+    s.choice.pods_listed(s.now, ListKind::whole, {pod("a", 1)});
+    s.choice.list_lost(s.now);
+    s.run(6.3);
+    const InvId inv = s.take();
+    REQUIRE(s.host.sent.size() == 1);
+    CHECK(s.choice.still_good(s.now, inv, DispatchNo{0}));
+    std::vector<InvId> waiting;
+    while (s.host.throttled.empty() && waiting.size() < 50) waiting.push_back(s.take());
+    s.run(0.2);
+    CHECK_FALSE(s.choice.still_good(s.now, inv, DispatchNo{0}));
+    CHECK(s.choice.given_up(GiveUpReason::list_expired) > 0);
+    const std::size_t sent = s.host.sent.size();
+    s.take();
+    CHECK(s.host.sent.size() == sent);
+}
+
+TEST_CASE("nothing new goes to a pod whose end counts as told, whatever becomes of the watch") {
+    const auto seed = GENERATE(range(1u, 201u));
+    CAPTURE(seed);
+    World world(seed);
+    world.run(90);
+    CHECK(world.sent > 200);
+    CHECK(world.sent > world.held / 4);
+}
