--- a/tests/stale_list.cpp
+++ b/tests/stale_list.cpp
@@ -62,4 +62,112 @@
     CHECK(served_anew(rig, client) == "1");
 }
 
+TEST_CASE("a pod that goes on answering on its connection is used while the register refuses all") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    client.send(invocation());
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    pod.send(served("0"));
+    CHECK(client.answer() == "0");
+    rig.watch.send(chunk("\n"));
+    rest(0.1);
+    rig.watch.close();
+    const double lost = now();
+    int answered = 0;
+    while (now() < lost + kToldWithin + 2 * kGrace) {
+        refuse_calls(rig, now() + 0.5);
+        client.send(invocation());
+        if (pod.message().first != 'Q') break;
+        pod.send(served("1"));
+        answered += client.answer() == "1";
+    }
+    CHECK(answered >= 10);
+    pod.close();  // it leaves; what comes to its address is another
+    refuse_calls(rig, now() + 0.2);
+    CHECK(served_anew(rig, client) == "1");  // no end of it counts as told yet
+    refuse_calls(rig, now() + kToldWithin + kGrace);
+    client.send(invocation());
+    CHECK(client.answer(kQuiet) == "!53300");
+}
+
+TEST_CASE("a change of which only a part comes counts as told") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    rig.watch.send(chunk("\n"));
+    rest(0.1);
+    rig.watch.send(chunk("{\"revision\":43,\"complete\":false,\"members\":["));
+    rest(0.1);
+    CHECK(served_anew(rig, client) == "1");
+    rest(kGrace);
+    client.send(invocation());
+    CHECK(client.answer(kQuiet) == "!53300");
+    rig.watch.send(chunk("]}\n"));
+    rest(0.1);
+    client.send(invocation());
+    CHECK(client.answer(kQuiet) != "!53300");
+}
+
+TEST_CASE("SIGHUP: where the new register answers nobody, the old one's signs of life confirm nothing") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    Stand list;
+    rig.told["discovery"] = "127.0.0.1:" + std::to_string(list.port);
+    rig.write();
+    rig.watch.send(chunk("\n"));
+    rest(0.1);
+    rig.signal(SIGHUP);
+    const double moved = now();
+    constexpr double kAfterMove = 4;  // s: the protocol's
+    while (now() < moved + kAfterMove + kGrace) {
+        rig.watch.send(chunk("\n"));
+        if (Peer call = list.take(0.2)) call.send(whole_answer(503, "busy"));
+    }
+    client.send(invocation());
+    CHECK(client.answer(kQuiet) == "!53300");
+    for (Peer watch; (watch = list.take());) {
+        watch.send(kStream + chunk("\n"));
+        rest(0.1);
+        CHECK(served_anew(rig, client) == "1");
+        break;
+    }
+}
+
+TEST_CASE("a process that stood still reads what the list told before its clients' requests") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    rig.watch.close();  // the watch that follows is opened after the client's connection
+    rig.watch = rig.list.take();
+    rig.watch.upto("\r\n\r\n");
+    rig.watch.send(kStream + chunk("\n"));
+    rest(0.1);
+    rig.signal(SIGSTOP);
+    rest(0.1);
+    client.send(invocation());
+    rest(0.1);
+    json leaving = rig.members;
+    leaving[0]["phase"] = "Terminating";
+    rig.change(leaving);
+    rest(0.1);
+    rig.signal(SIGCONT);
+    CHECK(client.answer(kQuiet) == "!53300");
+    CHECK_FALSE(rig.pod(kQuiet));
+}
+
+TEST_CASE("a list that is pushed is watched too") {
+    Rig rig(1);
+    rig.told["settings"]["registryMode"] = "automatic";
+    rig.begin();
+    Stand other;
+    rig.change(json::array({pod_line("s-0", 1, "Gone"), pod_line("s-9", other.port)}));
+    rest(0.1);
+    Peer client = rig.client();
+    client.send(invocation());
+    CHECK(other.take());
+}
+
 }  // namespace tideline::net
