Each change that can't be read counts for itself; an unreadable phase and probes too

Cause: ListFreshness kept only the first of several changes that could not be read; a pod that took work after the first was held to be ready though a later one told its end. At fault: ListFreshness::unread and usable_until. Change: the first and the last are kept; of what lies between, the earliest that is possible counts. Beside it, of the same class: a pod whose entry has a phase that can't be read, also when asked again, gets nothing new until it can (Listing::read left it ready); resting pods are not probed past the list's time (look_at_resting).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -592,8 +592,7 @@
     // A rest that is over ends with a probe where probes are allowed, then with a single dispatch.
     void look_at_resting() {
         for (auto& [id, pod] : pods) {
-            if (pod.rest_for == 0 || pod.proving || now < pod.rest_until || pod.line.state != PodState::ready)
-                continue;
+            if (pod.rest_for == 0 || pod.proving || now < pod.rest_until || !known_ready(pod)) continue;
             if (!may_probe)
                 pod.proving = true;
             else if (!pod.probed)
--- a/src/list_freshness.cpp
+++ b/src/list_freshness.cpp
@@ -16,7 +16,8 @@
 
 void ListFreshness::confirmed(Seconds now) {
     confirmed_at_ = now;
-    unread_since_.reset();
+    unread_first_.reset();
+    unread_last_.reset();
     moved_at_.reset();
     pushed_lost_at_.reset();
 }
@@ -28,7 +29,8 @@
 }
 
 void ListFreshness::unread(Seconds now) {
-    if (!unread_since_) unread_since_ = now;
+    if (!unread_first_) unread_first_ = now;
+    unread_last_ = now;
 }
 
 void ListFreshness::moved(Seconds now) {
@@ -44,7 +46,8 @@
     const Seconds known = ready_at ? std::max(*ready_at, by_list) : by_list;
     Seconds told = known + bounds_.told_within;
     if (moved_at_) told = std::min(told, std::max(known, *moved_at_ + bounds_.told_after_move));
-    if (unread_since_ && known <= *unread_since_) told = std::min(told, *unread_since_);
+    // Danger: of several such changes a later one may be of a pod that took work after the first.
+    if (unread_last_ && known <= *unread_last_) told = std::min(told, std::max(known, *unread_first_));
     if (pushed_lost_at_) told = std::min(told, std::max(known, *pushed_lost_at_));
     return told + rest_of_grace;
 }
--- a/src/list_freshness.hpp
+++ b/src/list_freshness.hpp
@@ -41,7 +41,7 @@
   private:
     const Bounds bounds_;
     const Seconds started_;
-    std::optional<Seconds> confirmed_at_, unread_since_, moved_at_, pushed_lost_at_;
+    std::optional<Seconds> confirmed_at_, unread_first_, unread_last_, moved_at_, pushed_lost_at_;
 };
 
 }  // namespace tideline
--- a/src/net/listing.cpp
+++ b/src/net/listing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <climits>
 #include <cmath>
+#include <set>
 
 #include "net/limits.hpp"
 
@@ -37,6 +38,10 @@
     value = static_cast<int>(number);
     return true;
 }
+bool has_known_phase(const json& entry) {
+    const json* phase = field(entry, "phase");
+    return phase && phase->is_string() && kStates.contains(phase->get<std::string>());
+}
 bool number(const json& entry, const char* name, double& value) {
     const json* at = field(entry, name);
     if (at && !at->is_number()) return false;
@@ -117,6 +122,7 @@
     told.kind = warm ? ListKind::warm_copy : whole ? ListKind::whole : ListKind::changes;
 
     std::string odd;
+    std::set<PodId> phase_unknown;
     std::map<PodId, Known> lines;
     for (const json& entry : *members) {
         const json* id = entry.is_object() ? field(entry, "id") : nullptr;
@@ -131,6 +137,7 @@
         if (!read_entry(entry, before, now)) {
             odd += entry.dump(-1, ' ', false, json::error_handler_t::replace);
             if (!before) continue;
+            if (!has_known_phase(entry)) phase_unknown.insert(now.line.pod);
         }
         // Danger: a list that lags behind what was told, as after a move to another address, would bring back
         // a pod that drains or is gone. Only another start or build makes it another pod.
@@ -139,6 +146,12 @@
             now.line.state = before->line.state;
         lines.insert_or_assign(now.line.pod, now);
     }
+    // Danger: what a pod is in now was told and can't be known, not by asking again either. It may drain.
+    const bool repeated = !odd.empty() && odd == odd_;
+    for (const PodId& pod : phase_unknown) {
+        PodState& state = lines.at(pod).line.state;
+        if (repeated && state == PodState::ready) state = PodState::draining;
+    }
     std::vector<Known> left_out;
     for (const auto& [pod, known] : known_)
         if (whole && !lines.contains(pod)) left_out.push_back(known);
@@ -153,7 +166,7 @@
     }
     // Danger: a change that could not be read counts as told. So it is asked for again, from the state before
     // it; once more the same, there is nothing to wait for, and the rest must not be asked for for ever.
-    told.clear = odd.empty() || odd == odd_ || warm;
+    told.clear = odd.empty() || repeated || warm;
     odd_ = odd;
     if (told.clear && numbered) revision_ = revision, newest_ = std::max(newest_, revision);
     return told;
--- a/tests/list_freshness.cpp
+++ b/tests/list_freshness.cpp
@@ -220,7 +220,8 @@
     CHECK(freshness.usable_until() == Approx(111.8));
     freshness.lost(113, ListLoss::unread);
     CHECK(freshness.usable_until() == Approx(111.8));
-    CHECK(freshness.usable_until(111.5) == Approx(118.3));  // that pod took work after it was told
+    CHECK(freshness.usable_until(113.5) == Approx(120.3));  // that pod took work after it was told
+    CHECK(freshness.usable_until(112) == Approx(112.8));    // and that one before the loss
     freshness.confirmed(114);
     CHECK(freshness.usable_until() == Approx(120.4));
 }
@@ -294,7 +295,7 @@
 }
 
 TEST_CASE("nothing new goes to a pod whose end counts as told, whatever becomes of the watch") {
-    const auto seed = GENERATE(range(1u, 201u));
+    const auto seed = GENERATE(range(1u, 301u));
     CAPTURE(seed);
     World world(seed);
     world.run(90);
--- a/tests/listing.cpp
+++ b/tests/listing.cpp
@@ -100,6 +100,17 @@
     CHECK(states(listing, {list(43, complete, {odd, entry("s-2")})})["s-1"] == PodState::draining);
 }
 
+TEST_CASE("a pod whose phase can't be read when asked again gets nothing new, until it can") {
+    Listing listing(kTerms);
+    listing.read(list(41, true, {entry("s-1"), entry("s-2")}), false);
+    const json odd = list(42, false, {entry("s-1", "Cordoned")});
+    CHECK(states(listing, {odd})["s-1"] == PodState::ready);  // asked for again first
+    auto now = states(listing, {odd});
+    CHECK(now["s-1"] == PodState::draining);
+    CHECK_FALSE(now.contains("s-2"));
+    CHECK(states(listing, {list(43, false, {entry("s-1")})})["s-1"] == PodState::ready);
+}
+
 TEST_CASE("what is gone is remembered up to a bound") {
     Listing listing(kTerms);
     for (int i = 0; i < 3 * static_cast<int>(kGoneKept); ++i)
