--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "list_freshness.hpp"
+#include "list_retry.hpp"
 #include "records.hpp"
 #include "samples.hpp"
 #include "terms.hpp"
@@ -91,13 +92,7 @@
 constexpr Seconds kBeat = 0.02;         // s: how often what waits is looked at; small beside any SLO time
 constexpr Seconds kStoodStill = 0.6;    // s: with no beat for so long this sidecar stood still
 constexpr Seconds kWary = 10;           // s: after that it may soon stand still again
-constexpr Seconds kBeatIdle = 0.25;   // s: and with nothing open, for votes and the judge; scattered by half
-constexpr Seconds kAskAgain = 0.4;    // s: first wait after the list was lost, scattered
-constexpr double kAskRateMost = 100;  // calls a second of all sidecars: the rate that is tried first
-constexpr double kAskRateLeast =
-    20;  // and the one below which nobody goes: a service that must be asked bears it
-constexpr int kAskDoublings = 8;  // times: beyond any longest wait
-constexpr Seconds kAskMost = 1;   // s: longest wait in a small fleet: several fit before we count as told
+constexpr Seconds kBeatIdle = 0.25;  // s: and with nothing open, for votes and the judge; scattered by half
 
 constexpr Seconds kNever = -std::numeric_limits<double>::infinity();
 constexpr AlarmId kBeatAlarm{1};
@@ -151,6 +146,7 @@
     const Seconds start;
     Seconds now;
     ListFreshness freshness;
+    ListRetry retry;
     bool expired = false;  // the list was past its time when last looked at
 
     std::vector<Cover> covers;
@@ -195,7 +191,6 @@
     bool vote_open = false;
 
     Seconds ask_at = kNever, next_beat = kNever;
-    int calls_failed = 0;  // for the list, in a row
 
     Desk(Host& h, const Terms& t, std::uint64_t seed, Seconds at)
         : host(h),
@@ -203,7 +198,8 @@
           chance(static_cast<std::uint32_t>(seed ^ (seed >> 32))),
           start(at),
           now(at),
-          freshness(bounds_of(terms), at) {
+          freshness(bounds_of(terms), at),
+          retry(terms.have("sidecars", 1, 1, 1e9)) {
         read_terms();
         wake_within(kBeatIdle);
         if (!list_is_pushed(terms)) host.follow_list();
@@ -887,24 +883,15 @@
     }
     void confirmed() {
         freshness.confirmed(now);
-        calls_failed = 0;
+        retry.answered();
     }
     // Danger: without a watch we count as told of changes we never saw. So it is asked for again, and nothing
     // beside it: it begins with what was missed, or else with all, and whoever tells the list has many
     // callers. A second call for the whole list keeps them from getting through just when they need to.
-    // Danger: with hundreds of callers the service works only on calls that have waited too long, and for as
-    // long as they call again soon it answers nobody. So the waits double, from what it would take to answer
-    // all sidecars quickly to what it takes slowly, and are scattered over their whole length.
     void lost(ListLoss loss) {
         freshness.lost(now, loss);
-        const bool alone =
-            calls_failed == 0 && freshness.confirmed_at();  // no call of the fleet's failed yet
-        const double doubled = std::exp2(std::min(calls_failed, kAskDoublings));
-        ++calls_failed;
-        const Seconds own = kAskAgain * doubled;
-        const Seconds fleet = alone ? 0 : sidecars / kAskRateMost * std::max(1.0, doubled / 2);
-        const Seconds longest = std::max(kAskMost, sidecars / kAskRateLeast);
-        ask_at = now + std::min(longest, std::max(own, fleet)) * draw(own > fleet ? 0.5 : 0.2, 1);
+        const ListRetry::Wait wait = retry.failed(freshness.confirmed_at().has_value());
+        ask_at = now + draw(wait.least, wait.most);
     }
 
     void taken(InvId id, Operation op, Customer customer, std::optional<ObjectKey> key, Seconds budget) {
--- a/tests/list_freshness.cpp
+++ b/tests/list_freshness.cpp
@@ -8,6 +8,7 @@
 #include <random>
 
 #include "helpers.hpp"
+#include "list_retry.hpp"
 
 using namespace tideline;
 using namespace tideline::test;
@@ -247,6 +248,28 @@
     CHECK(freshness.usable_until() == Approx(113.8));
 }
 
+TEST_CASE("calls for the list wait longer each time, from what the fleet may ask quickly to slowly") {
+    const auto range = [](ListRetry& retry, bool watched) {
+        const auto wait = retry.failed(watched);
+        return std::pair(wait.least, wait.most);
+    };
+    ListRetry one(1);
+    CHECK(range(one, true) == std::pair(0.2, 0.4));
+    CHECK(range(one, true) == std::pair(0.4, 0.8));
+    for (int i = 0; i < 40; ++i) CHECK(range(one, true).second == 1);
+    one.answered();
+    CHECK(range(one, true) == std::pair(0.2, 0.4));
+    ListRetry many(300);
+    CHECK(range(many, true) == std::pair(0.2, 0.4));  // its own loss
+    CHECK(range(many, true).second == Approx(3));     // 300 at 100 a second
+    CHECK(range(many, true).second == Approx(6));     // at 50
+    CHECK(range(many, true).second == Approx(12));    // at 25
+    CHECK(range(many, true).second == Approx(15));    // at 20, and no slower
+    CHECK(range(many, true).first == Approx(3));
+    ListRetry begun(300);
+    CHECK(range(begun, false).second == Approx(3));  // all may have started together
+}
+
 TEST_CASE("past the list's time work goes on to pods that answer on the connections they had") {
     Sidecar s(bounded_terms());
     s.choice.pods_listed(s.now, ListKind::whole, {pod("old", 1), pod("new", 1)});
