Slip is SidecarConfig: a name of the field in place of the trade's

Need: the struct is the sidecar's configuration; 'slip' took a sentence to explain it. Files, function and variables are renamed; nothing else changes.

--- a/src/audit/ledger.hpp
+++ b/src/audit/ledger.hpp
@@ -27,7 +27,7 @@
     Phase phase = Phase::released;
     double cap = 0;
     Stand stand = Stand::open;
-    std::string told, program;  // digest of its slip and operator file; the program's version
+    std::string told, program;  // digest of its configuration and operator file; the program's version
     bool operator==(const Acting&) const = default;
 };
 
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -31,9 +31,9 @@
         again_ = Due::kNone;
         try {
             // Danger: of two files one might be taken up and the other not. Both are read first.
-            const Slip slip = read_slip(wish_.told);
+            const SidecarConfig config = read_sidecar_config(wish_.told);
             if (fellow_) fellow_->take_up(fleet::treaty_of(wish_.fleet));
-            sidecar_.take_up(slip);
+            sidecar_.take_up(config);
         } catch (const std::exception& error) {
             if (first) log_.line("SIGHUP: {}; what stands stays, read again soon", error.what());
             again_ = loop_.due.at(clock_now() + pause_, [this] { attempt(false); });
@@ -51,26 +51,26 @@
 
 constexpr Seconds kSettleMost = 0.5;  // s: beyond that an ordered end waits for nobody
 
-warming::PaceTerms pace_terms(const Slip& slip) {
+warming::PaceTerms pace_terms(const SidecarConfig& config) {
     warming::PaceTerms terms;
-    terms.window = slip.need("rules.fall_window"), terms.multiple = slip.need("rules.fall_multiple");
-    terms.cold_share = slip.need("rules.cold_share"), terms.warm_within = slip.need("rules.warm_within");
+    terms.window = config.need("rules.fall_window"), terms.multiple = config.need("rules.fall_multiple");
+    terms.cold_share = config.need("rules.cold_share"), terms.warm_within = config.need("rules.warm_within");
     return terms;
 }
 
 // Danger: what is held for a shorter time than pods tell repeats would let a late repeat take effect again.
-void check_keep(const Slip& slip, const fleet::Treaty& treaty) {
+void check_keep(const SidecarConfig& config, const fleet::Treaty& treaty) {
     if (!treaty.copies.on) return;
-    const int count = static_cast<int>(slip.need("operations.count"));
+    const int count = static_cast<int>(config.need("operations.count"));
     for (int i = 0; i < count; ++i) {
         const std::string at = "operations." + std::to_string(i);
-        const auto effect = slip.terms.find(at + ".effect");
-        if (effect == slip.terms.end() || effect->second == Term{std::string("idempotent")}) continue;
-        const auto window = slip.terms.find(at + ".repeat_window");
-        const double repeats = window == slip.terms.end() || !std::holds_alternative<double>(window->second)
+        const auto effect = config.terms.find(at + ".effect");
+        if (effect == config.terms.end() || effect->second == Term{std::string("idempotent")}) continue;
+        const auto window = config.terms.find(at + ".repeat_window");
+        const double repeats = window == config.terms.end() || !std::holds_alternative<double>(window->second)
                                    ? 0
                                    : std::get<double>(window->second);
-        const double needed = repeats + slip.need(at + ".time_limit");
+        const double needed = repeats + config.need(at + ".time_limit");
         if (treaty.copies.keeper.keep < needed)
             throw std::runtime_error(
                 fmt::format("copies.keep of {} s is less than the {} s for which {} needs what is held",
@@ -81,7 +81,7 @@
 }  // namespace
 
 int serve(const ServeWish& wish) {
-    const Slip slip = read_slip(wish.told);
+    const SidecarConfig config = read_sidecar_config(wish.told);
     Log log(wish.log);
     // Danger: protobuf writes its own complaints to standard error, and waits for a slow reader.
     google::protobuf::SetLogHandler(nullptr);
@@ -90,11 +90,11 @@
     std::unique_ptr<fleet::Fellow> fellow;
     if (!wish.fleet.empty()) {
         const fleet::Treaty treaty = fleet::treaty_of(wish.fleet);
-        check_keep(slip, treaty);
-        fellow = std::make_unique<fleet::Fellow>(loop, log, treaty, fleet::digest_of(slip.text),
-                                                 pace_terms(slip), slip.seed);
+        check_keep(config, treaty);
+        fellow = std::make_unique<fleet::Fellow>(loop, log, treaty, fleet::digest_of(config.text),
+                                                 pace_terms(config), config.seed);
     }
-    Sidecar sidecar(loop, log, slip, fellow.get(), fellow ? fellow->surety() : nullptr);
+    Sidecar sidecar(loop, log, config, fellow.get(), fellow ? fellow->surety() : nullptr);
     if (fellow) fellow->begin(sidecar);
     Reading reading(loop, log, sidecar, fellow.get(), wish);
     bool ending = false;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -44,21 +44,21 @@
 
 }  // namespace
 
-Sidecar::Sidecar(Loop& loop, Log& log, const Slip& slip, Onlooker* onlooker, Surety* surety)
+Sidecar::Sidecar(Loop& loop, Log& log, const SidecarConfig& config, Onlooker* onlooker, Surety* surety)
     : loop_(loop),
       log_(log),
       onlooker_(onlooker),
       surety_(surety),
-      terms_(slip.terms),
-      name_(slip.name),
-      listens_(slip.listen),
-      sockets_(descriptors_allowed(slip.sockets)),
+      terms_(config.terms),
+      name_(config.name),
+      listens_(config.listen),
+      sockets_(descriptors_allowed(config.sockets)),
       operations_(names_of<Operation>(terms_, "operations")),
       customers_(names_of<Customer>(terms_, "customers")),
       clients_(loop, *this, longest_limit(terms_)),
-      pods_(loop, *this, slip.need("allowed.connect_time"), slip.need("allowed.keep_idle")),
-      list_(loop, *this, terms_, slip.list, slip.known),
-      platform_(loop, *this, slip.platform, slip.need("release.vote_wait"), slip.seed) {
+      pods_(loop, *this, config.need("allowed.connect_time"), config.need("allowed.keep_idle")),
+      list_(loop, *this, terms_, config.list, config.known),
+      platform_(loop, *this, config.platform, config.need("release.vote_wait"), config.seed) {
     if (const auto it = terms_.find("allowed.overlap"); it != terms_.end())
         overlap_ = it->second != Term{0.0};
     if (surety_)
@@ -68,16 +68,16 @@
             if (it->second == Term{std::string("fingerprinted")}) effects_[op] = Effect::fingerprinted;
             if (it->second == Term{std::string("side-effecting")}) effects_[op] = Effect::side_effecting;
         }
-    choice_ = std::make_unique<Choice>(*this, terms_, slip.seed, clock_now());
-    list_.begin(slip.known);
-    platform_.read_state(slip.news);
+    choice_ = std::make_unique<Choice>(*this, terms_, config.seed, clock_now());
+    list_.begin(config.known);
+    platform_.read_state(config.news);
     platform_.begin();
     // A list that is pushed comes over a watch too; the module only asks for one that is not.
     if (const auto told = terms_.find("list.told"); told == terms_.end() || told->second != Term{"asked"})
         list_.follow();
-    if (!clients_.listen(slip.listen))
+    if (!clients_.listen(config.listen))
         throw std::runtime_error("can't listen: " + std::string(std::strerror(errno)));
-    log_.line("{} listens; {} descriptors", slip.name, sockets_);
+    log_.line("{} listens; {} descriptors", config.name, sockets_);
     report_later();
 }
 Sidecar::~Sidecar() { loop_.due.cancel(report_); }
@@ -335,7 +335,7 @@
     clients_.let_go(clock_now() > let_go_since_ + kStalled);
     loop_.due.at(clock_now() + kLinger / 10, [this] { let_go(); });
 }
-void Sidecar::take_up(const Slip& fresh) {
+void Sidecar::take_up(const SidecarConfig& fresh) {
     list_.move(fresh.list);
     platform_.move(fresh.platform);
     sockets_ = descriptors_allowed(fresh.sockets);
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -12,7 +12,7 @@
 #include "net/onlooker.hpp"
 #include "net/platform.hpp"
 #include "net/pods.hpp"
-#include "net/slip.hpp"
+#include "net/sidecar_config.hpp"
 #include "net/surety.hpp"
 
 namespace tideline::net {
@@ -21,10 +21,11 @@
   public:
     // `onlooker`: told of what this sidecar acts on; none where the fleet is off. `surety`: asked before what
     // must not run twice goes out; none where sidecars hold nothing for each other.
-    Sidecar(Loop& loop, Log& log, const Slip& slip, Onlooker* onlooker = nullptr, Surety* surety = nullptr);
+    Sidecar(Loop& loop, Log& log, const SidecarConfig& config, Onlooker* onlooker = nullptr,
+            Surety* surety = nullptr);
     ~Sidecar() override;
-    void let_go();                    // after SIGTERM
-    void take_up(const Slip& fresh);  // after SIGHUP: what can change at run time
+    void let_go();                             // after SIGTERM
+    void take_up(const SidecarConfig& fresh);  // after SIGHUP: what can change at run time
     bool done() const { return letting_go_ && clients_.size() == 0; }  // what is held has a client that waits
     void report();
     // Ward
--- a/src/net/slip.cpp
+++ b/src/net/sidecar_config.cpp
@@ -1,4 +1,4 @@
-#include "net/slip.hpp"
+#include "net/sidecar_config.hpp"
 
 #include <charconv>
 #include <fstream>
@@ -37,20 +37,20 @@
 
 // Danger: a reload would take up the addresses of a file with which no restart could begin, and the next
 // restart, of all sidecars alike, would fail.
-void check_terms(const Slip& slip) {
+void check_terms(const SidecarConfig& config) {
     for (const char* term : {"allowed.connect_time", "allowed.keep_idle", "release.vote_wait"}) {
-        const double value = slip.need(term);
+        const double value = config.need(term);
         if (!(value > 0 && value < 1e9)) throw std::runtime_error(std::string("term out of range: ") + term);
     }
-    if (!slip.terms.contains("operations.0.name"))
+    if (!config.terms.contains("operations.0.name"))
         throw std::runtime_error("missing term: operations.0.name");
     Nobody nobody;
-    const Choice would_work(nobody, slip.terms, 0, 0);
+    const Choice would_work(nobody, config.terms, 0, 0);
 }
 
 }  // namespace
 
-double Slip::need(const std::string& term) const {
+double SidecarConfig::need(const std::string& term) const {
     const auto it = terms.find(term);
     if (it == terms.end()) throw std::runtime_error("missing term: " + term);
     const double* value = std::get_if<double>(&it->second);
@@ -58,34 +58,34 @@
     return *value;
 }
 
-Slip read_slip(const std::string& path) {
+SidecarConfig read_sidecar_config(const std::string& path) {
     std::ifstream file(path);
     if (!file) throw std::runtime_error("can't read " + path);
-    Slip slip;
-    slip.text.assign(std::istreambuf_iterator<char>(file), {});
-    const json from = json::parse(slip.text, nullptr, false);
+    SidecarConfig config;
+    config.text.assign(std::istreambuf_iterator<char>(file), {});
+    const json from = json::parse(config.text, nullptr, false);
     if (!from.is_object()) throw std::runtime_error("no JSON object in " + path);
-    slip.name =
+    config.name =
         from.contains("name") && from["name"].is_string() ? from["name"].get<std::string>() : "sidecar";
-    slip.listen = need_address(from, "/listen");
-    slip.list = need_address(from, "/discovery");
-    slip.platform = need_address(from, "/deployer/address");
+    config.listen = need_address(from, "/listen");
+    config.list = need_address(from, "/discovery");
+    config.platform = need_address(from, "/deployer/address");
     if (!from.contains("seed") || !from["seed"].is_string()) throw std::runtime_error("missing: seed");
     const std::string seed = from["seed"].get<std::string>();
-    if (std::from_chars(seed.data(), seed.data() + seed.size(), slip.seed, 16).ec != std::errc{})
+    if (std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16).ec != std::errc{})
         throw std::runtime_error("no number in hex digits: seed");
     const json::json_pointer sockets("/limits/sockets");
     if (from.contains(sockets) && from[sockets].is_number_unsigned())
-        slip.sockets = from[sockets].get<std::size_t>();
-    slip.known = from.value("known", json::object());
-    slip.news = from["deployer"].value("news", json());
+        config.sockets = from[sockets].get<std::size_t>();
+    config.known = from.value("known", json::object());
+    config.news = from["deployer"].value("news", json());
     if (!from.contains("settings") || !from["settings"].is_object())
         throw std::runtime_error("missing: settings");
-    slip.terms = terms_of(from["settings"]);
-    slip.terms["list.told_within"] = kListToldWithin;
-    slip.terms["list.told_after_move"] = kListToldAfterMove;
-    check_terms(slip);
-    return slip;
+    config.terms = terms_of(from["settings"]);
+    config.terms["list.told_within"] = kListToldWithin;
+    config.terms["list.told_after_move"] = kListToldAfterMove;
+    check_terms(config);
+    return config;
 }
 
 }  // namespace tideline::net
--- a/src/net/slip.hpp
+++ b/src/net/sidecar_config.hpp
@@ -1,4 +1,4 @@
-// What is read at start (in the trade, a slip tells who is covered, where and how much).
+// The configuration of a sidecar, one JSON object: read at start, and again at SIGHUP.
 #pragma once
 
 #include <nlohmann/json.hpp>
@@ -9,7 +9,8 @@
 
 namespace tideline::net {
 
-struct Slip {
+// As read and checked; `terms` also holds the protocol's times for the list, in seconds.
+struct SidecarConfig {
     std::string name;
     Address listen, list, platform;
     std::uint64_t seed = 0;
@@ -21,6 +22,6 @@
 };
 
 // Throws std::exception with one plain line that names what is wrong: the file, a field, or a term.
-Slip read_slip(const std::string& path);
+SidecarConfig read_sidecar_config(const std::string& path);
 
 }  // namespace tideline::net
