--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -198,7 +198,7 @@
           chance(static_cast<std::uint32_t>(seed ^ (seed >> 32))),
           start(at),
           now(at),
-          freshness(bounds_of(terms), at),
+          freshness(bounds_of(terms)),
           retry(terms.have("sidecars", 1, 1, 1e9)) {
         read_terms();
         wake_within(kBeatIdle);
@@ -376,6 +376,10 @@
         return pod.line.state == PodState::ready && now <= freshness.usable_until(pod.ready_at);
     }
     bool list_expired() const { return now > freshness.usable_until(); }
+    // A process that has just started waits for its first list: it may be there within what a wait may take.
+    bool may_be_ready(const Pod& pod) const {
+        return freshness.confirmed_at() ? known_ready(pod) : pod.line.state == PodState::ready;
+    }
     // A pod that drains turns new work away, so one that took an attempt was ready when that was written. But
     // only if it is the process that is listed: an address may have come to another one. A connection that
     // was opened when the listed one was known to be up still leads to it, for as long as it lasts.
@@ -387,7 +391,7 @@
         if (times.connected <= known) pod.ready_at = std::max(known, times.written);
     }
     void look_at_list() {
-        const bool was = std::exchange(expired, list_expired());
+        const bool was = std::exchange(expired, freshness.confirmed_at() && list_expired());
         if (was == expired) return;
         const auto usable =
             std::count_if(pods.begin(), pods.end(), [&](auto& e) { return known_ready(e.second); });
@@ -543,7 +547,7 @@
     bool any_place(const Invocation& inv) const {
         return std::any_of(pods.begin(), pods.end(), [&](auto& entry) {
             const PodLine& line = entry.second.line;
-            return known_ready(entry.second) && may_repeat_at(inv, line) &&
+            return may_be_ready(entry.second) && may_repeat_at(inv, line) &&
                    !(on_trial(line.build) && cap_of(line.build) <= 0);
         });
     }
--- a/src/list_freshness.cpp
+++ b/src/list_freshness.cpp
@@ -12,8 +12,6 @@
 
 }  // namespace
 
-ListFreshness::ListFreshness(const Bounds& bounds, Seconds now) : bounds_(bounds), started_(now) {}
-
 void ListFreshness::confirmed(Seconds now) {
     confirmed_at_ = now;
     unread_first_.reset();
@@ -40,8 +38,9 @@
 Seconds ListFreshness::usable_until(std::optional<Seconds> ready_at) const {
     if (bounds_.told_within == kUnbounded) return kUnbounded;
     const Seconds rest_of_grace = bounds_.drain_grace - kHeldUp;
-    // Danger: nobody tells how old the copy is that a process starts with. All may count as told by then.
-    if (!confirmed_at_) return started_ + rest_of_grace;
+    // Danger: nobody tells how old the copy is that a process starts with. What it lacks may have counted as
+    // told to the process before, longer ago than the grace.
+    if (!confirmed_at_) return -kUnbounded;
     const Seconds by_list = *confirmed_at_ - kPushLag;
     const Seconds known = ready_at ? std::max(*ready_at, by_list) : by_list;
     Seconds told = known + bounds_.told_within;
--- a/src/list_freshness.hpp
+++ b/src/list_freshness.hpp
@@ -20,8 +20,8 @@
         Seconds drain_grace = 0;      // after it was told, sending to a draining or gone pod has to stop
         bool pushed = false;          // changes count as told at once, whether or not a watch is open
     };
-    // `now`: of a process that knows but a copy of the list, of unknown age.
-    ListFreshness(const Bounds& bounds, Seconds now);
+    // Of a process that knows but a copy of the list, of unknown age.
+    explicit ListFreshness(const Bounds& bounds) : bounds_(bounds) {}
 
     // The watch spoke: all that was told by `now` has been read.
     void confirmed(Seconds now);
@@ -40,7 +40,6 @@
 
   private:
     const Bounds bounds_;
-    const Seconds started_;
     std::optional<Seconds> confirmed_at_, unread_first_, unread_last_, moved_at_, pushed_lost_at_;
 };
 
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -42,7 +42,7 @@
     void head(int status) override {
         if (status != 200) lost_ = CallLoss{ListLoss::ended, fmt::format("status {}", status)};
         if (lost_ || !call_.told_.accepted) return;
-        settled_ = loop_.due.at(clock_now() + kHeadSettled, [this] {
+        settled_ = loop_.due.at(clock_now() + call_.told_.settle, [this] {
             settled_ = Due::kNone;
             if (!closed() && !call_.spoke_ && !objects_.within()) call_.told_.accepted();
         });
@@ -51,6 +51,8 @@
         if (lost_) return;
         const auto read = objects_.add(bytes, kObjectMost, [&](const std::string& text) {
             if (closed()) return;
+            if (text.empty() && settled_ != Due::kNone) return;  // says no more than the head
+            loop_.due.cancel(settled_);
             call_.spoke_ = true;
             loop_.due.cancel(whole_by_);
             call_.told_.object(text);
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -14,7 +14,7 @@
       listing_(terms),
       address_(address),
       watches_{Call(loop, address), Call(loop, address)},
-      heard_at_(clock_now()) {
+      begun_(clock_now()) {
     listing_.handed(Listing::revision_of(known).value_or(0));
 }
 
@@ -36,7 +36,7 @@
     if (calls_ > 0)
         owner_.list_said(fmt::format(
             "watch stands from revision {}, answered in {:.2f} s, call {} in {:.1f} s without one",
-            listing_.revision(), now - called_at_, calls_, now - heard_at_));
+            listing_.revision(), now - called_at_, calls_, now - heard_at_.value_or(begun_)));
     calls_ = 0;
     heard_at_ = now;
 }
@@ -59,6 +59,10 @@
     loop_.due.cancel(again_);
     ++calls_;
     called_at_ = clock_now();
+    // Danger: a crowded register accepts a call and gives a sign of life before it has worked on it. That
+    // nothing has changed is known once it would have; where hardly anything can have, at once.
+    const bool recent = heard_at_ && called_at_ < *heard_at_ + kListRecent;
+    const Seconds settle = recent ? kHeadSettled : kHeadSettledLate;
     watches_[which].begin(fmt::format("/v1/servers?follow=1&since={}", listing_.revision()), kListFirst,
                           kListSilence,
                           {[this, which](const std::string& text) { take(which, text); },
@@ -67,7 +71,7 @@
                                lost(which, {ListLoss::ended, "ended"});
                            },
                            [this, which](const CallLoss& loss) { lost(which, loss); },
-                           [this] { owner_.list_unread(); }, [this, which] { take(which, {}); }});
+                           [this] { owner_.list_unread(); }, [this, which] { take(which, {}); }, settle});
 }
 void List::follow() { watch(standing_); }
 
@@ -95,7 +99,7 @@
         std::string why = fmt::format("watch: {}; revision {}", loss.why, listing_.revision());
         if (calls_ > 0)
             why += fmt::format(", {:.1f} s old; call {} in a row, {:.2f} s after it was made",
-                               now - heard_at_, calls_, now - called_at_);
+                               now - heard_at_.value_or(begun_), calls_, now - called_at_);
         owner_.list_lost(loss.kind, why);
     }
 }
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,7 +55,8 @@
     Seconds pause_ = kReopenFirst;
     int calls_ = 0;          // in a row, none of them answered yet
     Seconds called_at_ = 0;  // the last of them
-    Seconds heard_at_ = 0;   // when the watch last spoke
+    const Seconds begun_;
+    std::optional<Seconds> heard_at_;  // when the watch last spoke
     Due::Key again_ = Due::kNone;
 };
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -58,7 +58,8 @@
       clients_(loop, *this, longest_limit(terms_)),
       pods_(loop, *this, config.need("allowed.connect_time"), config.need("allowed.keep_idle")),
       list_(loop, *this, terms_, config.list, config.known),
-      platform_(loop, *this, config.platform, config.need("release.vote_wait"), config.seed) {
+      platform_(loop, *this, config.platform, config.need("release.vote_wait"), config.seed),
+      ready_by_(clock_now() + kReadyWithin) {
     if (const auto it = terms_.find("allowed.overlap"); it != terms_.end())
         overlap_ = it->second != Term{0.0};
     if (surety_)
@@ -78,9 +79,13 @@
     if (!clients_.listen(config.listen))
         throw std::runtime_error("can't listen: " + std::string(std::strerror(errno)));
     log_.line("{} listens; {} descriptors", config.name, sockets_);
+    ready_timer_ = loop_.due.at(ready_by_, [this] { clients_.wake(); });
     report_later();
 }
-Sidecar::~Sidecar() { loop_.due.cancel(report_); }
+Sidecar::~Sidecar() {
+    loop_.due.cancel(report_);
+    loop_.due.cancel(ready_timer_);
+}
 
 // --- What the module decides
 void Sidecar::dispatch(InvId inv, const PodId& pod, Seconds stop_at) {
@@ -295,6 +300,10 @@
     listed_ = true;
     clients_.wake();
 }
+void Sidecar::list_confirmed() {
+    choice_->list_confirmed(clock_now());
+    if (!std::exchange(confirmed_, true)) clients_.wake();
+}
 void Sidecar::list_lost(ListLoss loss, const std::string& why) {
     ++lost_;
     log_.line("list lost: {}", why);
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -73,7 +73,8 @@
     void alarm(Seconds after, AlarmId alarm) override;
     void note(const std::string& text) override { log_.line("{}", text); }
     // Clients::Owner
-    bool can_serve() override { return listed_; }
+    // With a list that was confirmed; a process that gets none takes clients all the same, to answer them.
+    bool can_serve() override { return listed_ && (confirmed_ || clock_now() >= ready_by_); }
     long idle_most() override { return static_cast<long>(sockets_ / kSocketsIdle); }
     bool room_for_client() override { return room_below(sockets_ - sockets_ / kSocketsForPods); }
     std::optional<InvId> admit(ClientNo client, std::string_view id, std::string_view statement,
@@ -92,7 +93,7 @@
     // List::Owner
     void listed(ListKind kind, const std::vector<PodLine>& lines,
                 const std::vector<Address>& addresses) override;
-    void list_confirmed() override { choice_->list_confirmed(clock_now()); }
+    void list_confirmed() override;
     void list_unread() override { choice_->list_unread(clock_now()); }
     void list_moved() override { choice_->list_moved(clock_now()); }
     void list_lost(ListLoss loss, const std::string& why) override;
@@ -136,7 +137,9 @@
     std::unique_ptr<Choice> choice_;
     bool listed_ = false, letting_go_ = false, overlap_ = false;
     Seconds let_go_since_ = 0;
-    Due::Key report_ = Due::kNone;
+    bool confirmed_ = false;  // the list, since the start
+    const Seconds ready_by_;
+    Due::Key report_ = Due::kNone, ready_timer_ = Due::kNone;
     std::map<Outcome, long> outcomes_;
     long taken_ = 0, throttled_ = 0, terminated_ = 0, late_ = 0, went_ = 0, recalled_ = 0, lists_ = 0,
          lost_ = 0;
--- a/src/net/sidecar_config.hpp
+++ b/src/net/sidecar_config.hpp
@@ -9,7 +9,6 @@
 
 namespace tideline::net {
 
-// As read and checked; `terms` also holds the protocol's times for the list, in seconds.
 // As read and checked; `terms` also holds the protocol's times for the list, in seconds.
 struct SidecarConfig {
     std::string name;
--- a/tests/list_freshness.cpp
+++ b/tests/list_freshness.cpp
@@ -200,9 +200,9 @@
 }  // namespace
 
 TEST_CASE("a list holds for the time within which changes count as told, and the grace") {
-    ListFreshness freshness(bounds(), 100);
-    CHECK(freshness.usable_until() == Approx(100.8));  // a copy may be of any age: the grace, less 0.2 s
-    CHECK(freshness.usable_until(150) == Approx(100.8));
+    ListFreshness freshness(bounds());
+    CHECK(freshness.usable_until() == -ListFreshness::kUnbounded);  // a copy may be of any age
+    CHECK(freshness.usable_until(150) == -ListFreshness::kUnbounded);
     freshness.confirmed(110);
     CHECK(freshness.usable_until() == Approx(116.4));  // 110 + 6 + 1, less 0.2 held up, 0.4 of a late change
     freshness.lost(112, ListLoss::ended);
@@ -210,12 +210,12 @@
     CHECK(freshness.usable_until(114) == Approx(120.8));  // it took an attempt then: 114 + 6 + 1 - 0.2
     freshness.confirmed(120);
     CHECK(freshness.usable_until() == Approx(126.4));
-    const ListFreshness unbounded({}, 100);
+    const ListFreshness unbounded({});
     CHECK(unbounded.usable_until() == ListFreshness::kUnbounded);
 }
 
 TEST_CASE("a change that is not whole or can't be read counts as told from its first byte") {
-    ListFreshness freshness(bounds(), 100);
+    ListFreshness freshness(bounds());
     freshness.confirmed(110);
     freshness.unread(111);
     CHECK(freshness.usable_until() == Approx(111.8));
@@ -228,7 +228,7 @@
 }
 
 TEST_CASE("after a move only the watch at the new address confirms, within a shorter time") {
-    ListFreshness freshness(bounds(), 100);
+    ListFreshness freshness(bounds());
     freshness.confirmed(110);
     freshness.moved(110.5);
     freshness.moved(111);  // again before the first is through: the first time counts
@@ -240,7 +240,7 @@
 }
 
 TEST_CASE("a list that is pushed counts as told without a watch, unless the agent itself is silent") {
-    ListFreshness freshness(bounds(true), 100);
+    ListFreshness freshness(bounds(true));
     freshness.confirmed(110);
     freshness.lost(112, ListLoss::silent);
     CHECK(freshness.usable_until() == Approx(116.4));
--- a/tests/socket_rig.hpp
+++ b/tests/socket_rig.hpp
@@ -272,6 +272,7 @@
         watch = list.take();
         REQUIRE(watch.upto("\r\n\r\n").find("since=41") != std::string::npos);
         watch.send(kStream);
+        change(json::array(), 41);  // nothing has changed since
         feed = platform.take();
         REQUIRE(feed.upto("\r\n\r\n").find("GET /api/feed") == 0);
         feed.send(kStream + chunk("{}\n"));
--- a/tests/stale_list.cpp
+++ b/tests/stale_list.cpp
@@ -44,24 +44,70 @@
     CHECK_FALSE(rig.pod(kQuiet));
 }
 
-TEST_CASE("the copy of the list that a process starts with is good for no longer than the grace") {
+TEST_CASE("the copy of the list that a process starts with is not acted on before the list is confirmed") {
     Rig rig(1);
     rig.start();
     const double started = now();
     Peer client = rig.client();
-    client.send(pg::query(""));
-    CHECK(client.answer() == "empty");  // it is ready all the same
-    refuse_calls(rig, started + kGrace + 0.5);
+    client.send(invocation());  // waits for the list for a while
+    refuse_calls(rig, started + 1);
+    CHECK(client.answer(kQuiet) == "!53300");
+    client.send(pg::query(""));  // it is no good yet to those that may choose another
+    refuse_calls(rig, started + kReadyWithin - 0.5);
+    CHECK(client.quiet(0.01));
+    refuse_calls(rig, started + kReadyWithin + 0.3);
+    CHECK(client.answer() == "empty");  // but answers all the same after a time
     client.send(invocation());
     CHECK(client.answer(kQuiet) == "!53300");
     CHECK_FALSE(rig.pod(kQuiet));
     Peer watch = rig.list.take();
     watch.upto("\r\n\r\n");
-    watch.send(kStream + chunk("\n"));  // nothing has changed
+    watch.send(kStream + chunk("\n"));  // accepted, as a crowded register does before it works on it
+    rest(0.5);
+    client.send(invocation());
+    CHECK(client.answer(kQuiet) == "!53300");
+    watch.send(chunk("{\"revision\":41,\"complete\":false,\"members\":[]}\n"));
     rest(0.1);
     CHECK(served_anew(rig, client) == "1");
 }
 
+TEST_CASE("an accepted watch that ends at once confirms nothing, and keeps no older one from its work") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    Stand list;
+    rig.told["discovery"] = "127.0.0.1:" + std::to_string(list.port);
+    rig.write();
+    rig.signal(SIGHUP);
+    Peer watch = list.take();
+    watch.upto("\r\n\r\n");
+    watch.send(kStream + chunk("\n"));
+    watch.close();
+    CHECK_FALSE(rig.watch.ended(0.1));
+    json leaving = rig.members;
+    leaving[0]["phase"] = "Terminating";
+    rig.change(leaving);  // the old one still tells
+    rest(0.1);
+    client.send(invocation());
+    CHECK(client.answer(kQuiet) == "!53300");
+}
+
+TEST_CASE("what comes while a process waits for its first list is sent once that is there") {
+    Rig rig(1);
+    rig.start();
+    rig.watch = rig.list.take();
+    rig.watch.upto("\r\n\r\n");
+    Peer client = rig.client();
+    client.send(invocation());
+    rest(0.1);
+    rig.watch.send(kStream);
+    rig.change(json::array(), 41);
+    Peer pod = rig.pod();
+    REQUIRE(pod.message().first == 'Q');
+    pod.send(served("1"));
+    CHECK(client.answer() == "1");
+}
+
 TEST_CASE("a pod that goes on answering on its connection is used while the register refuses all") {
     Rig rig(1);
     rig.begin();
@@ -128,12 +174,11 @@
     }
     client.send(invocation());
     CHECK(client.answer(kQuiet) == "!53300");
-    for (Peer watch; (watch = list.take());) {
-        watch.send(kStream + chunk("\n"));
-        rest(0.1);
-        CHECK(served_anew(rig, client) == "1");
-        break;
-    }
+    Peer watch = list.take();
+    watch.upto("\r\n\r\n");
+    watch.send(kStream + chunk("{\"revision\":41,\"complete\":false,\"members\":[]}\n"));
+    rest(0.1);
+    CHECK(served_anew(rig, client) == "1");
 }
 
 TEST_CASE("a process that stood still reads what the list told before its clients' requests") {
