A missing term is named in the order of the settings again

Seen: ctest 'drill' failed on the final code: 'missing term: rules.drain_grace' where operations.count is the first that lacks. Cause: bounds_of needed the grace before read_terms ran. It now reads it where it is; read_terms names it if it is missing. drill passes.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -214,7 +214,7 @@
             std::min(terms.have("list.told_within", kUnbounded), terms.have("rules.ask_within", kUnbounded));
         if (!terms.has("list.told_within")) bounds.told_within = kUnbounded;
         bounds.told_after_move = terms.have("list.told_after_move", kUnbounded);
-        bounds.drain_grace = terms.need("rules.drain_grace");
+        bounds.drain_grace = terms.have("rules.drain_grace", 0);  // needed: read_terms names it
         bounds.pushed = terms.has("list.told_within") && list_is_pushed(terms);
         return bounds;
     }
