The fleet's calls for the list begin at 50 a second, not 100

The register answers 40 to 70 a second at its best. Cause: ListRetry's first wait of a fleet, sidecars / 100 s, asks for more than it bears. Change: sidecars / 50 s.

--- a/src/list_retry.cpp
+++ b/src/list_retry.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Seconds kFirst = 0.4;        // s: longest first wait after a loss of this sidecar's own; doubles
-constexpr double kRateFirst = 100;     // calls a second of all sidecars: the rate that is tried first; halves
+constexpr double kRateFirst = 50;      // calls a second of all sidecars: the rate that is tried first; halves
 constexpr double kRateLeast = 2;       // and the one below which it does not fall
 constexpr Seconds kLeastLongest = 1;   // s: no wait is held shorter than that
 constexpr Seconds kMostLongest = 15;   // s: nor is any longer; a register that is back is heard of by then
