A list confirms nothing by itself: only the one that was read whole does

Found on reading the change again: Choice::listed confirmed every list, the reader of the list did so once more, and ListFreshness::moving was there only to take one case back. A list with an entry that can't be read was confirmed, then lost; with another noise each time the grace began anew each time.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -880,9 +880,9 @@
         std::size_t ready = 0;
         for (const auto& [id, pod] : pods) ready += pod.line.state == PodState::ready;
         most_ready = std::max(most_ready, ready);
-        // Danger: after a move the watch at the old address still tells; what the new one had to tell may
-        // count as told. Only the watch at the new one confirms.
-        if (kind != ListKind::warm_copy && !freshness.moving()) confirmed();
+        // Danger: a list may hold what can't be read, or come from a register that was left. So it confirms
+        // nothing by itself: whoever read it tells (list_confirmed).
+        if (kind != ListKind::warm_copy) retry.answered();
         serve_waiting();
     }
     void confirmed() {
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -32,6 +32,7 @@
     Choice(Host& host, const Terms& terms, std::uint64_t seed, Seconds now);
     ~Choice();
 
+    // A list alone confirms nothing; where it was read whole, list_confirmed follows.
     void pods_listed(Seconds now, ListKind kind, const std::vector<PodLine>& lines);
     // The watch of the list spoke, with or without a change: what was told until now is known.
     void list_confirmed(Seconds now);
--- a/src/list_freshness.hpp
+++ b/src/list_freshness.hpp
@@ -30,7 +30,6 @@
     void unread(Seconds now);
     // The register is to be watched at another address; what confirms is the watch there.
     void moved(Seconds now);
-    bool moving() const { return moved_at_.has_value(); }
 
     // Whether there was ever more than the copy of the start, and when that was last confirmed.
     std::optional<Seconds> confirmed_at() const { return confirmed_at_; }
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -328,6 +328,7 @@
                         const std::vector<Address>& addresses) {
     list_.handed(revision);
     listed(ListKind::whole, lines, addresses);
+    list_confirmed();
 }
 void Sidecar::hand_news(Build build, Stage stage, Phase phase, double cap, Seconds age) {
     stage_told(build, stage, phase, cap, age);
--- a/tests/list_freshness.cpp
+++ b/tests/list_freshness.cpp
@@ -232,11 +232,10 @@
     freshness.confirmed(110);
     freshness.moved(110.5);
     freshness.moved(111);  // again before the first is through: the first time counts
-    CHECK(freshness.moving());
     CHECK(freshness.usable_until() == Approx(115.3));     // 110.5 + 4 + 1 - 0.2
     CHECK(freshness.usable_until(116) == Approx(116.8));  // all that is told by then
     freshness.confirmed(117);
-    CHECK_FALSE(freshness.moving());
+    CHECK(freshness.usable_until() == Approx(123.4));  // 117 + 6 + 1, less 0.2 and 0.4: the move is over
 }
 
 TEST_CASE("a list that is pushed counts as told without a watch, unless the agent itself is silent") {
@@ -275,6 +274,7 @@
 TEST_CASE("past the list's time work goes on to pods that answer on the connections they had") {
     Sidecar s(bounded_terms());
     s.choice.pods_listed(s.now, ListKind::whole, {pod("old", 1), pod("new", 1)});
+    s.choice.list_confirmed(s.now);
     const Seconds listed = s.now;
     s.choice.list_lost(s.now);
     const auto serve = [&](Seconds span) {
@@ -304,6 +304,7 @@
 TEST_CASE("what waits, for a pod or for its connection, does not go once the list is past its time") {
     Sidecar s(bounded_terms());
     s.choice.pods_listed(s.now, ListKind::whole, {pod("a", 1)});
+    s.choice.list_confirmed(s.now);
     s.choice.list_lost(s.now);
     s.run(6.3);
     const InvId inv = s.take();
--- a/tests/stale_list.cpp
+++ b/tests/stale_list.cpp
@@ -156,6 +156,27 @@
     CHECK(client.answer(kQuiet) != "!53300");
 }
 
+TEST_CASE("changes that can't be read, each in another way, don't renew the time of the list") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    json odd = rig.members;
+    const double begun = now();
+    for (int i = 0; now() < begun + kGrace + 0.5; ++i) {
+        odd[0]["phase"] = "Odd-" + std::to_string(i);
+        rig.change(odd, 43);
+        rig.watch = rig.list.take();
+        rig.watch.upto("\r\n\r\n");
+        rig.watch.send(kStream);
+    }
+    odd[0]["phase"] = "Odd";
+    rig.change(odd, 43);
+    rest(0.05);
+    client.send(invocation());
+    CHECK(client.answer(kQuiet) == "!53300");
+    CHECK_FALSE(rig.pod(kQuiet));
+}
+
 TEST_CASE("SIGHUP: where the new register answers nobody, the old one's signs of life confirm nothing") {
     Rig rig(1);
     rig.begin();
