Failing test: pods that drain take new work and keep themselves in use by that

Logs of a trial with every attempt past the list's time noted: the pod s-, told as draining at 31.22, takes attempts written at 32.4, 32.5, 32.7 and 33.0 s and turns the first away at 34.66 s.

--- a/tests/list_freshness.cpp
+++ b/tests/list_freshness.cpp
@@ -36,6 +36,7 @@
     int process = 0;
     PodState state = PodState::ready;
     Seconds changes_at = 0;
+    Seconds refuses_at = 0;                            // while it drains; until then it takes new work on
     std::vector<std::pair<int, Seconds>> connections;  // to which process, opened when
 };
 
@@ -97,7 +98,8 @@
             if (now_ < each.changes_at) continue;
             switch (each.state) {
                 case PodState::ready:
-                    each.state = PodState::draining, each.changes_at = now_ + draw(0.5, 3);
+                    each.state = PodState::draining, each.changes_at = now_ + draw(0.5, 8);
+                    each.refuses_at = now_ + draw(0, 4);
                     break;
                 case PodState::draining:
                     each.state = PodState::gone, each.changes_at = now_ + draw(0.5, 12);
@@ -166,9 +168,10 @@
                 at.connections.push_back({at.process, now_});
             else if (at.state != PodState::gone)
                 times.connected = at.connections.front().second;
-            const Outcome outcome = at.state == PodState::gone       ? Outcome::unreachable
-                                    : at.state == PodState::draining ? Outcome::full
-                                                                     : Outcome::succeeded;
+            const bool refuses = at.state == PodState::draining && now_ >= at.refuses_at;
+            const Outcome outcome = at.state == PodState::gone ? Outcome::unreachable
+                                    : refuses                  ? Outcome::full
+                                                               : Outcome::succeeded;
             choice_->dispatch_ended(now_, each.inv, DispatchNo{tries_[each.inv]++}, each.pod, outcome, 0.02,
                                     outcome == Outcome::succeeded, {}, times);
         }
