--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -122,7 +122,6 @@
     Runs answers{kRun, kRunsKept};  // answer times over their operations' shortest
     double limit = kLimitFirst;     // own dispatches that may be out here at once
     Seconds last_answer = kNever;
-    std::optional<Seconds> ready_at;  // the process that is listed took an attempt written then
     Seconds rest_until = kNever, rest_for = 0;
     bool proving = false, probed = false;  // back from a rest: one dispatch until it answers
     Stretch sent;                          // sent here, for the cold guard
@@ -373,35 +372,20 @@
 
     // --- Rule 3: nothing new to a draining or gone pod --------------------------------------------------
     // Danger: a list that can't be confirmed says less and less. A pod that it calls ready gets nothing new
-    // once an end of it would count as told for longer than the grace, unless the pod itself showed since
-    // that it takes new work. Harms while the register is down for long: what is sent shrinks to such pods.
-    bool known_ready(const Pod& pod) const {
-        return pod.line.state == PodState::ready && now <= freshness.usable_until(pod.ready_at);
-    }
+    // once an end of it would count as told for longer than the grace. That it still takes new work shows
+    // nothing: pods go on with that for seconds after the register has them as draining. Harms while the
+    // register is down for long: then nothing is sent.
     bool list_expired() const { return now > freshness.usable_until(); }
+    bool known_ready(const Pod& pod) const { return pod.line.state == PodState::ready && !list_expired(); }
     // A process that has just started waits for its first list: it may be there within what a wait may take.
     bool may_be_ready(const Pod& pod) const {
         return freshness.confirmed_at() ? known_ready(pod) : pod.line.state == PodState::ready;
     }
-    // A pod that drains turns new work away, so one that took an attempt was ready when that was written. But
-    // only if it is the process that is listed: an address may have come to another one. A connection that
-    // was opened when the listed one was known to be up still leads to it, for as long as it lasts.
-    void note_ready(Pod& pod, Outcome outcome, const AttemptTimes& times) {
-        const auto confirmed = freshness.confirmed_at();
-        const bool took_it = outcome == Outcome::succeeded || outcome == Outcome::failed;
-        if (!took_it || !confirmed) return;
-        const Seconds known = pod.ready_at ? std::max(*pod.ready_at, *confirmed) : *confirmed;
-        if (times.connected <= known) pod.ready_at = std::max(known, times.written);
-    }
     void look_at_list() {
         const bool was = std::exchange(expired, freshness.confirmed_at() && list_expired());
         if (was == expired) return;
-        const auto usable =
-            std::count_if(pods.begin(), pods.end(), [&](auto& e) { return known_ready(e.second); });
-        host.note(expired ? "list expired: of " + std::to_string(pods.size()) + " pods " +
-                                std::to_string(usable) +
-                                " are known to be ready by their answers; nothing new to the others"
-                          : "list holds again: " + std::to_string(usable) + " pods ready");
+        host.note(expired ? "list expired: nothing new is sent until it is confirmed again"
+                          : "list holds again");
     }
 
     // --- Rule 2: no effect twice ------------------------------------------------------------------------
@@ -888,15 +872,15 @@
         if (kind != ListKind::warm_copy) retry.answered();
         serve_waiting();
     }
-    void confirmed() {
-        freshness.confirmed(now);
+    void confirmed(Seconds as_of) {
+        freshness.confirmed(as_of);
         retry.answered();
     }
     // Danger: without a watch we count as told of changes we never saw. So it is asked for again, and nothing
     // beside it: it begins with what was missed, or else with all, and whoever tells the list has many
     // callers. A second call for the whole list keeps them from getting through just when they need to.
-    void lost(ListLoss loss) {
-        freshness.lost(now, loss);
+    void lost(Seconds since, ListLoss loss) {
+        freshness.lost(since, loss);
         const ListRetry::Wait wait = retry.failed(loss, freshness.confirmed_at().has_value());
         ask_at = now + draw(wait.least, wait.most);
     }
@@ -917,8 +901,7 @@
         place(id, kept);
     }
 
-    void ended(InvId id, DispatchNo no, const PodId& pod_id, Outcome outcome, Seconds took, bool concluded,
-               const AttemptTimes& times) {
+    void ended(InvId id, DispatchNo no, const PodId& pod_id, Outcome outcome, Seconds took, bool concluded) {
         const auto it = open.find(id);
         if (it == open.end()) return;
         Invocation& inv = it->second;
@@ -930,7 +913,6 @@
             outcome != Outcome::full && outcome != Outcome::unreachable && outcome != Outcome::moot;
         Pod& pod = pods[d.pod.pod];
         pod.out = std::max(0, pod.out - 1);
-        note_ready(pod, outcome, times);
         Cover& cover = covers[inv.op.value];
         switch (outcome) {
             case Outcome::succeeded:
@@ -1074,10 +1056,10 @@
 void Choice::pods_listed(Seconds t, ListKind kind, const std::vector<PodLine>& lines) {
     at(t).listed(kind, lines);
 }
-void Choice::list_confirmed(Seconds now) { at(now).confirmed(); }
-void Choice::list_unread(Seconds now) { at(now).freshness.unread(now); }
-void Choice::list_moved(Seconds now) { at(now).freshness.moved(now); }
-void Choice::list_lost(Seconds now, ListLoss loss) { at(now).lost(loss); }
+void Choice::list_confirmed(Seconds now, Seconds as_of) { at(now).confirmed(as_of); }
+void Choice::list_unread(Seconds now, Seconds since) { at(now).freshness.unread(since); }
+void Choice::list_moved(Seconds now, Seconds since) { at(now).freshness.moved(since); }
+void Choice::list_lost(Seconds now, Seconds since, ListLoss loss) { at(now).lost(since, loss); }
 void Choice::invocation_taken(Seconds now, InvId inv, Operation op, Customer customer,
                               std::optional<ObjectKey> key, Seconds budget, std::optional<Seconds>) {
     at(now).taken(inv, op, customer, key, budget);
@@ -1091,8 +1073,8 @@
 }
 void Choice::stream_begun(Seconds now, InvId inv, DispatchNo no) { at(now).begun(inv, no); }
 void Choice::dispatch_ended(Seconds now, InvId inv, DispatchNo no, const PodId& pod, Outcome outcome,
-                            Seconds took, bool concluded, const Load&, const AttemptTimes& times) {
-    at(now).ended(inv, no, pod, outcome, took, concluded, times);
+                            Seconds took, bool concluded, const Load&) {
+    at(now).ended(inv, no, pod, outcome, took, concluded);
 }
 bool Choice::still_good(Seconds now, InvId inv, DispatchNo no) { return at(now).still_good(inv, no); }
 void Choice::invocation_dropped(Seconds now, InvId inv) { at(now).dropped(inv); }
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -34,12 +34,14 @@
 
     // A list alone confirms nothing; where it was read whole, list_confirmed follows.
     void pods_listed(Seconds now, ListKind kind, const std::vector<PodLine>& lines);
-    // The watch of the list spoke, with or without a change: what was told until now is known.
-    void list_confirmed(Seconds now);
+    // The watch of the list spoke, with or without a change: what was told until `as_of` is known.
+    void list_confirmed(Seconds now, Seconds as_of);
+    // Of these `since` is the earliest time at which it may have come, where that is read late.
     // A change has begun to arrive, or can't be read: it counts as told.
-    void list_unread(Seconds now);
-    void list_moved(Seconds now);  // the register is watched at another address from now on
-    void list_lost(Seconds now, ListLoss loss = ListLoss::ended);
+    void list_unread(Seconds now, Seconds since);
+    // The register is watched at another address from now on.
+    void list_moved(Seconds now, Seconds since);
+    void list_lost(Seconds now, Seconds since, ListLoss loss);
     void invocation_taken(Seconds now, InvId inv, Operation op, Customer customer,
                           std::optional<ObjectKey> key, Seconds budget, std::optional<Seconds> work);
     // One that others may have sent before: by rule 2 it is bound by these as by its own dispatches, and
@@ -49,7 +51,7 @@
                             const std::vector<Dispatch>& earlier);
     void stream_begun(Seconds now, InvId inv, DispatchNo no);
     void dispatch_ended(Seconds now, InvId inv, DispatchNo no, const PodId& pod, Outcome outcome,
-                        Seconds took, bool concluded, const Load& load, const AttemptTimes& times = {});
+                        Seconds took, bool concluded, const Load& load);
     // Asked just before the first byte of a dispatch that had to wait for a connection. If it may no longer
     // go, it has to end as moot.
     bool still_good(Seconds now, InvId inv, DispatchNo no);
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -23,6 +23,7 @@
     void begin() {
         loop_.due.cancel(again_);
         pause_ = kReopenFirst;
+        asked_at_ = loop_.arrived_after();
         attempt(true);
     }
 
@@ -33,7 +34,7 @@
             // Danger: of two files one might be taken up and the other not. Both are read first.
             const SidecarConfig config = read_sidecar_config(wish_.told);
             if (fellow_) fellow_->take_up(fleet::treaty_of(wish_.fleet));
-            sidecar_.take_up(config);
+            sidecar_.take_up(config, asked_at_);
         } catch (const std::exception& error) {
             if (first) log_.line("SIGHUP: {}; what stands stays, read again soon", error.what());
             again_ = loop_.due.at(clock_now() + pause_, [this] { attempt(false); });
@@ -46,6 +47,7 @@
     fleet::Fellow* const fellow_;
     const ServeWish wish_;
     Seconds pause_ = kReopenFirst;
+    Seconds asked_at_ = 0;  // the signal came no earlier
     Due::Key again_ = Due::kNone;
 };
 
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -211,7 +211,8 @@
             const AlarmId alarm{static_cast<std::uint64_t>(whole(e, "token"))};
             to.with([&](Choice& c) { c.alarm_rang(now_, alarm); });
         } else if (name == "TARGETS") {
-            if (text(e, "mode") == "lost") return to.with([&](Choice& c) { c.list_lost(now_); });
+            if (text(e, "mode") == "lost")
+                return to.with([&](Choice& c) { c.list_lost(now_, now_, ListLoss::ended); });
             const ListKind kind = word(e, "mode", kLists);
             const auto list = sheets_.find(whole_or(e, "list", 0));
             if (list == sheets_.end()) throw Malformed("'list' names no known list");
--- a/src/list_freshness.hpp
+++ b/src/list_freshness.hpp
@@ -23,23 +23,24 @@
     // Of a process that knows but a copy of the list, of unknown age.
     explicit ListFreshness(const Bounds& bounds) : bounds_(bounds) {}
 
-    // The watch spoke: all that was told by `now` has been read.
-    void confirmed(Seconds now);
-    void lost(Seconds now, ListLoss loss);
+    // The watch spoke: all that was told by `as_of` has been read.
+    void confirmed(Seconds as_of);
+    // Of these `since` is the earliest time at which it may have come: a process may have stood still before
+    // it read it.
+    void lost(Seconds since, ListLoss loss);
     // Something was told that is not whole yet, or can't be read.
-    void unread(Seconds now);
+    void unread(Seconds since);
     // The register is to be watched at another address; what confirms is the watch there.
-    void moved(Seconds now);
+    void moved(Seconds since);
 
     // Whether there was ever more than the copy of the start, and when that was last confirmed.
     std::optional<Seconds> confirmed_at() const { return confirmed_at_; }
-    // The last moment for something new to a pod that was known to be ready at `ready_at`, by its own
-    // answers, or by the list alone.
-    Seconds usable_until(std::optional<Seconds> ready_at = {}) const;
+    // The last moment for something new to a pod that is listed as ready.
+    Seconds usable_until() const;
 
   private:
     const Bounds bounds_;
-    std::optional<Seconds> confirmed_at_, unread_first_, unread_last_, moved_at_, pushed_lost_at_;
+    std::optional<Seconds> confirmed_at_, unread_at_, moved_at_, pushed_lost_at_;
 };
 
 }  // namespace tideline
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -44,9 +44,9 @@
     void head(int status) override {
         if (status != 200) lost_ = CallLoss{ListLoss::ended, fmt::format("status {}", status)};
         if (lost_ || !call_.told_.accepted) return;
-        settled_ = loop_.due.at(clock_now() + call_.told_.settle, [this] {
+        settled_ = loop_.due.at(clock_now() + call_.told_.settle, [this, headed = loop_.arrived_after()] {
             settled_ = Due::kNone;
-            if (!closed() && !call_.spoke_ && !objects_.within()) call_.told_.accepted();
+            if (!closed() && !call_.spoke_ && !objects_.within()) call_.told_.accepted(headed);
         });
     }
     void body(std::string_view bytes) override {
--- a/src/net/call.hpp
+++ b/src/net/call.hpp
@@ -26,8 +26,9 @@
         std::function<void()> whole;                          // the answer has come to its end
         std::function<void(const CallLoss& loss)> lost;       // before that
         std::function<void()> begun = {};                     // an object has begun and is not whole yet
-        // The call was accepted, and nothing but signs of life has come for `settle` seconds.
-        std::function<void()> accepted = {};
+        // The call was accepted, not before `headed`, and nothing but signs of life has come for `settle`
+        // seconds.
+        std::function<void(Seconds headed)> accepted = {};
         Seconds settle = 0;
     };
     Call(Loop& loop, Address address);
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -36,9 +36,7 @@
     2.4;  // s: calls may wait there for 2 s; two silent watches are over within 6 s
 constexpr Seconds kListToldWithin = 6;     // s: the protocol: what is not read by then counts as told
 constexpr Seconds kListToldAfterMove = 4;  // s: the protocol: after a reload, likewise
-constexpr Seconds kHeadSettled = 0.2;  // s: what an accepted watch has to tell at once comes with its head
-constexpr Seconds kHeadSettledLate = 2.1;  // s: a call may be worked on for 2 s after it was accepted
-constexpr Seconds kListRecent = 4;       // s: since the list was confirmed; no change counts as told by then
+constexpr Seconds kHeadSettled = 2.1;      // s: a call may be worked on for 2 s after it was accepted
 constexpr Seconds kReadyWithin = 5;      // s: a process takes clients by then, also without a confirmed list
 constexpr Seconds kObjectWithin = 2;     // s: an object that has begun comes whole, or it was cut off
 constexpr std::size_t kGoneKept = 1024;  // pods: far more than go while a list lags
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -29,10 +29,10 @@
 
 // Danger: after a move the watch at the old address may say nothing is new while the new one has changes to
 // tell, which count as told. It confirms nothing.
-void List::heard(int which) {
+void List::heard(int which, Seconds as_of) {
     const Seconds now = clock_now();
     if (moving_ && which == standing_) return;
-    owner_.list_confirmed();
+    owner_.list_confirmed(as_of);
     if (calls_ > 0)
         owner_.list_said(fmt::format(
             "watch stands from revision {}, answered in {:.2f} s, call {} in {:.1f} s without one",
@@ -41,15 +41,20 @@
     heard_at_ = now;
 }
 
+// After a move the one that follows speaks: what the old one told was all taken.
+void List::speaks(int which) {
+    if (which == standing_) return;
+    watches_[standing_].drop();
+    standing_ = which;
+    moving_ = false;
+}
+
 void List::take(int which, const std::string& text) {
-    if (which != standing_) {  // the one that follows speaks: what the old one told was all taken
-        watches_[standing_].drop();
-        standing_ = which;
-        moving_ = false;
-    }
-    if (text.empty()) return heard(which);  // a sign of life
+    speaks(which);
+    const Seconds as_of = loop_.arrived_after();
+    if (text.empty()) return heard(which, as_of);  // a sign of life
     const json list = json::parse(text, nullptr, false);
-    if (!list.is_discarded() && read(list, false)) return heard(which);
+    if (!list.is_discarded() && read(list, false)) return heard(which, as_of);
     watches_[which].drop();
     lost(which, {ListLoss::unread, "what can't be read"});
 }
@@ -60,9 +65,7 @@
     ++calls_;
     called_at_ = clock_now();
     // Danger: a crowded register accepts a call and gives a sign of life before it has worked on it. That
-    // nothing has changed is known once it would have; where hardly anything can have, at once.
-    const bool recent = heard_at_ && called_at_ < *heard_at_ + kListRecent;
-    const Seconds settle = recent ? kHeadSettled : kHeadSettledLate;
+    // nothing had changed when it accepted the call is known once it would have told.
     watches_[which].begin(fmt::format("/v1/servers?follow=1&since={}", listing_.revision()), kListFirst,
                           kListSilence,
                           {[this, which](const std::string& text) { take(which, text); },
@@ -71,17 +74,22 @@
                                lost(which, {ListLoss::ended, "ended"});
                            },
                            [this, which](const CallLoss& loss) { lost(which, loss); },
-                           [this] { owner_.list_unread(); }, [this, which] { take(which, {}); }, settle});
+                           [this] { owner_.list_unread(loop_.arrived_after()); },
+                           [this, which](Seconds headed) {
+                               speaks(which);
+                               heard(which, headed);
+                           },
+                           kHeadSettled});
 }
 void List::follow() { watch(standing_); }
 
 // Danger: a watch that is given up before the next one speaks leaves a gap, in which changes count as told.
 // So after a move the old one stays; the next one is opened beside it, again and again if it is lost.
-void List::move(Address address) {
+void List::move(Address address, Seconds since) {
     if (address == address_) return;
     address_ = address, pause_ = kReopenFirst;
     for (Call& call : watches_) call.move(address);
-    owner_.list_moved();
+    owner_.list_moved(since);
     moving_ = watches_[standing_].open();
     if (moving_) watch(1 - standing_);
 }
@@ -100,7 +108,7 @@
         if (calls_ > 0)
             why += fmt::format(", {:.1f} s old; call {} in a row, {:.2f} s after it was made",
                                now - heard_at_.value_or(begun_), calls_, now - called_at_);
-        owner_.list_lost(loss.kind, why);
+        owner_.list_lost(loop_.arrived_after(), loss.kind, why);
     }
 }
 
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -20,10 +20,12 @@
         virtual ~Owner() = default;
         virtual void listed(ListKind kind, const std::vector<PodLine>& lines,
                             const std::vector<Address>& addresses) = 0;
-        virtual void list_confirmed() = 0;  // the watch spoke; what it told was handed over
-        virtual void list_unread() = 0;     // something has begun to arrive
-        virtual void list_moved() = 0;      // it is watched at another address from now on
-        virtual void list_lost(ListLoss loss, const std::string& why) = 0;
+        // The watch spoke; what it told until `as_of` was handed over.
+        virtual void list_confirmed(Seconds as_of) = 0;
+        // Of these `since` is the earliest time at which it may have come.
+        virtual void list_unread(Seconds since) = 0;  // something has begun to arrive
+        virtual void list_moved(Seconds since) = 0;   // it is watched at another address from now on
+        virtual void list_lost(Seconds since, ListLoss loss, const std::string& why) = 0;
         // For the log: a call was made, a watch stands again.
         virtual void list_said(const std::string& what) = 0;
         // False for a state older than one that was handed over since.
@@ -37,13 +39,15 @@
     void follow();
     std::int64_t revision() const { return listing_.revision(); }
     void handed(std::int64_t revision) { listing_.handed(revision); }  // by another than the list
-    void move(Address address);  // the list is now told there; the watch goes over without a gap
+    // The list is told there since then; the watch goes over without a gap.
+    void move(Address address, Seconds since);
 
   private:
     void watch(int which);
     void take(int which, const std::string& text);
     void lost(int which, const CallLoss& loss);
-    void heard(int which);                             // by the watch, a sign of life or more
+    void speaks(int which);                            // the watch that is heard from now on
+    void heard(int which, Seconds as_of);              // by the watch, a sign of life or more
     bool read(const nlohmann::json& list, bool warm);  // false: it has to be asked for again
     Loop& loop_;
     Owner& owner_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 #include "net/limits.hpp"
 #include "net/must.hpp"
@@ -46,6 +47,7 @@
     const int ms = wait <= 0 ? 0 : static_cast<int>(std::ceil(std::min(wait, 1.0) * 1e3));
     const int count = ::poll(polled_.data(), polled_.size(), ms);  // EINTR: nothing was ready, next pass
     const Seconds polled = clock_now();
+    arrived_after_ = std::exchange(polled_at_, polled);
     if (count > 0) {
         struct Ready {
             int fd;
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -31,6 +31,10 @@
     void pass();
     // Keeps what ended in this pass until nothing can refer to it any more.
     void bury(std::unique_ptr<Watcher> ended) { buried_.push_back(std::move(ended)); }
+    // What is read in this pass arrived later than that: the pass before had found all that was there by
+    // then. Danger: a process may stand still between any two steps, and finds what is seconds old beside
+    // what is new.
+    Seconds arrived_after() const { return arrived_after_; }
     std::size_t watched() const { return polled_.size(); }
     std::size_t peak() const { return peak_; }
 
@@ -48,6 +52,7 @@
     std::uint64_t uses_ = 0;
     std::size_t peak_ = 0;
     bool looked_again_ = false;
+    Seconds polled_at_ = clock_now(), arrived_after_ = polled_at_;
 };
 
 }  // namespace tideline::net
--- a/src/net/pods.cpp
+++ b/src/net/pods.cpp
@@ -19,7 +19,7 @@
     bool opening = true;       // counted in its place
     bool resting = false;      // so too
     Due::Key until = Due::kNone;
-    Seconds idle_since = 0, opened = 0;
+    Seconds idle_since = 0;
     bool greeted() const { return state_ != State::greeting; }
 
     void ask(std::uint64_t whose, std::string_view text) {
@@ -225,7 +225,7 @@
 void Pods::open_link(const PodId& pod, Place& place) {
     const std::uint64_t no = links_.add(std::make_unique<Connection>(*this, pod, place.times));
     Connection& link = **links_.find(no);
-    link.no = no, link.opened = clock_now();
+    link.no = no;
     ++place.opening, ++place.links;
     if (!owner_.room_for_connection()) {
         link.until = loop_.due.soon([this, no] { link_failed(no, Outcome::unreachable); });
@@ -240,7 +240,6 @@
     Errand& errand = *errands_.find(number);
     Connection& link = **links_.find(no);
     errand.link = no;
-    errand.times = {link.opened, clock_now()};
     loop_.due.cancel(link.until);
     link.ask(number, errand.inv ? owner_.statement_for(*errand.inv, errand.stop_at) : "SELECT 1");
 }
@@ -253,7 +252,7 @@
     errands_.remove(number);
     const Seconds took = clock_now() - errand.sent;
     if (errand.inv)
-        owner_.dispatch_ended(*errand.inv, errand.no, errand.pod, outcome, took, load, errand.times, answer);
+        owner_.dispatch_ended(*errand.inv, errand.no, errand.pod, outcome, took, load, answer);
     else
         owner_.probe_ended(errand.pod, outcome, took, load);
 }
--- a/src/net/pods.hpp
+++ b/src/net/pods.hpp
@@ -23,7 +23,7 @@
         virtual std::string statement_for(InvId inv, Seconds stop_at) = 0;
         virtual bool still_good(InvId inv, DispatchNo no) = 0;
         virtual void dispatch_ended(InvId inv, DispatchNo no, const PodId& pod, Outcome outcome, Seconds took,
-                                    const Load& load, const AttemptTimes& times, std::string_view answer) = 0;
+                                    const Load& load, std::string_view answer) = 0;
         virtual void probe_ended(const PodId& pod, Outcome outcome, Seconds took, const Load& load) = 0;
     };
 
@@ -46,7 +46,6 @@
         PodId pod;
         Seconds sent = 0, stop_at = 0;
         std::uint64_t link = 0;  // 0: it waits for one
-        AttemptTimes times;
         Due::Key stop = Due::kNone;
     };
     struct Place {
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -199,7 +199,7 @@
     return good;
 }
 void Sidecar::dispatch_ended(InvId inv, DispatchNo no, const PodId& pod, Outcome outcome, Seconds took,
-                             const Load& load, const AttemptTimes& times, std::string_view answer) {
+                             const Load& load, std::string_view answer) {
     Held* held = held_.find(inv.value);
     if (!must(held, "what was dispatched is held")) return;
     --held->out;
@@ -207,7 +207,7 @@
     if (held->effect != Effect::idempotent) surety_->ended(inv, no, outcome, answer);
     const bool serves = outcome == Outcome::succeeded && !held->concluded;
     if (serves) over(*held), clients_.answer(held->client, answer);
-    choice_->dispatch_ended(clock_now(), inv, no, pod, outcome, took, held->concluded, load, times);
+    choice_->dispatch_ended(clock_now(), inv, no, pod, outcome, took, held->concluded, load);
     settle(inv);
 }
 void Sidecar::probe_ended(const PodId& pod, Outcome outcome, Seconds took, const Load& load) {
@@ -300,14 +300,14 @@
     listed_ = true;
     clients_.wake();
 }
-void Sidecar::list_confirmed() {
-    choice_->list_confirmed(clock_now());
+void Sidecar::list_confirmed(Seconds as_of) {
+    choice_->list_confirmed(clock_now(), as_of);
     if (!std::exchange(confirmed_, true)) clients_.wake();
 }
-void Sidecar::list_lost(ListLoss loss, const std::string& why) {
+void Sidecar::list_lost(Seconds since, ListLoss loss, const std::string& why) {
     ++lost_;
     log_.line("list lost: {}", why);
-    choice_->list_lost(clock_now(), loss);
+    choice_->list_lost(clock_now(), since, loss);
 }
 bool Sidecar::takes_revision(std::int64_t revision) {
     return !onlooker_ || onlooker_->takes_revision(revision);
@@ -328,7 +328,7 @@
                         const std::vector<Address>& addresses) {
     list_.handed(revision);
     listed(ListKind::whole, lines, addresses);
-    list_confirmed();
+    list_confirmed(loop_.arrived_after());
 }
 void Sidecar::hand_news(Build build, Stage stage, Phase phase, double cap, Seconds age) {
     stage_told(build, stage, phase, cap, age);
@@ -345,8 +345,8 @@
     clients_.let_go(clock_now() > let_go_since_ + kStalled);
     loop_.due.at(clock_now() + kLinger / 10, [this] { let_go(); });
 }
-void Sidecar::take_up(const SidecarConfig& fresh) {
-    list_.move(fresh.list);
+void Sidecar::take_up(const SidecarConfig& fresh, Seconds since) {
+    list_.move(fresh.list, since);
     platform_.move(fresh.platform);
     sockets_ = descriptors_allowed(fresh.sockets);
     log_.line("new configuration taken up; {} descriptors", sockets_);
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -24,8 +24,9 @@
     Sidecar(Loop& loop, Log& log, const SidecarConfig& config, Onlooker* onlooker = nullptr,
             Surety* surety = nullptr);
     ~Sidecar() override;
-    void let_go();                             // after SIGTERM
-    void take_up(const SidecarConfig& fresh);  // after SIGHUP: what can change at run time
+    void let_go();  // after SIGTERM
+    // After SIGHUP, which came no earlier than `since`: what can change at run time.
+    void take_up(const SidecarConfig& fresh, Seconds since);
     bool done() const { return letting_go_ && clients_.size() == 0; }  // what is held has a client that waits
     void report();
     // Ward
@@ -88,15 +89,15 @@
     std::string statement_for(InvId inv, Seconds stop_at) override;
     bool still_good(InvId inv, DispatchNo no) override;
     void dispatch_ended(InvId inv, DispatchNo no, const PodId& pod, Outcome outcome, Seconds took,
-                        const Load& load, const AttemptTimes& times, std::string_view answer) override;
+                        const Load& load, std::string_view answer) override;
     void probe_ended(const PodId& pod, Outcome outcome, Seconds took, const Load& load) override;
     // List::Owner
     void listed(ListKind kind, const std::vector<PodLine>& lines,
                 const std::vector<Address>& addresses) override;
-    void list_confirmed() override;
-    void list_unread() override { choice_->list_unread(clock_now()); }
-    void list_moved() override { choice_->list_moved(clock_now()); }
-    void list_lost(ListLoss loss, const std::string& why) override;
+    void list_confirmed(Seconds as_of) override;
+    void list_unread(Seconds since) override { choice_->list_unread(clock_now(), since); }
+    void list_moved(Seconds since) override { choice_->list_moved(clock_now(), since); }
+    void list_lost(Seconds since, ListLoss loss, const std::string& why) override;
     void list_said(const std::string& what) override { log_.line("list: {}", what); }
     bool takes_revision(std::int64_t revision) override;
     // Platform::Owner
--- a/src/words.hpp
+++ b/src/words.hpp
@@ -30,12 +30,6 @@
 
 using Seconds = double;
 
-// When the connection that an attempt went out on was opened, and when the attempt was written to it.
-struct AttemptTimes {
-    Seconds connected = std::numeric_limits<Seconds>::infinity();  // not known
-    Seconds written = 0;
-};
-
 enum class Outcome { succeeded, failed, full, timed_out, unreachable, broken, spoilt, withdrawn, moot };
 enum class PodState { ready, draining, gone };
 enum class ListKind { changes, whole, warm_copy };
--- a/tests/list_freshness.cpp
+++ b/tests/list_freshness.cpp
@@ -33,11 +33,9 @@
 
 // What is true of one pod.
 struct TruePod {
-    int process = 0;
     PodState state = PodState::ready;
     Seconds changes_at = 0;
-    Seconds refuses_at = 0;                            // while it drains; until then it takes new work on
-    std::vector<std::pair<int, Seconds>> connections;  // to which process, opened when
+    Seconds refuses_at = 0;  // while it drains; until then it takes new work on
 };
 
 // A change that the register has; told when it was written to the sidecar, or a bounded time after it was
@@ -106,28 +104,47 @@
                     break;
                 case PodState::gone:
                     each.state = PodState::ready, each.changes_at = now_ + draw(1, 25);
-                    ++each.process;
                     break;
             }
             line.state = each.state;
             changes_.push_back({line, now_ + draw(0.05, 0.3)});  // the register hears of it a little later
         }
     }
-    // All that was not written yet, in order; false if the watch is cut off within it.
-    bool tell() {
+    // All that was made by then and not written yet.
+    std::vector<PodLine> written(Seconds by) {
         std::vector<PodLine> news;
         for (Change& change : changes_)
-            if (change.made <= now_ && change.written > now_)
-                change.written = now_, news.push_back(change.line);
+            if (change.made <= by && change.written > now_)
+                change.written = std::max(change.made, read_at_), news.push_back(change.line);
+        return news;
+    }
+    // All that was not written yet, in order; false if the watch is cut off within it.
+    bool tell() {
+        std::vector<PodLine> news = written(now_);
         if (!news.empty() && chance(0.1)) {
-            choice_->list_unread(now_);
+            choice_->list_unread(now_, read_at_);
             return false;
         }
         if (std::exchange(untold_, false)) news = told_lines();
         if (!news.empty()) choice_->pods_listed(now_, ListKind::changes, news);
-        choice_->list_confirmed(now_);
+        choice_->list_confirmed(now_, read_at_);
         return true;
     }
+    // The sidecar stands still, and so reads late what was written at any time meanwhile. The watch may have
+    // fallen silent before the end, with a sign of life as the last that came.
+    void stand_still() {
+        const Seconds span = draw(0.1, 8), silent_at = now_ + draw(0, 2 * span);
+        for (const Seconds until = now_ + span; now_ < until;) {
+            now_ += 0.02;
+            change_pods();
+        }
+        if (!watching_ || now_ < silent_at) return;
+        const std::vector<PodLine> news = written(silent_at);
+        if (!news.empty()) choice_->pods_listed(now_, ListKind::changes, news);
+        choice_->list_confirmed(now_, read_at_);
+        silent_ = true;
+        if (chance(0.7)) out_until_ = now_ + draw(0, 25);
+    }
     std::vector<PodLine> told_lines() const {
         std::map<PodId, PodLine> last;
         for (const PodLine& line : lines_) last[line.pod] = line, last[line.pod].state = PodState::ready;
@@ -138,8 +155,8 @@
         return lines;
     }
     void lose(ListLoss loss) {
-        watching_ = false, untold_ = true;
-        choice_->list_lost(now_, loss);
+        watching_ = silent_ = false, untold_ = true;
+        choice_->list_lost(now_, now_, loss);
     }
     void keep_watch() {
         if (watching_ && chance(0.002)) {
@@ -148,37 +165,34 @@
         }
         const bool news = std::any_of(changes_.begin(), changes_.end(),
                                       [&](auto& c) { return c.made <= now_ && c.written > now_; });
-        if (watching_ && (news || now_ >= sign_at_)) {
+        if (watching_ && !silent_ && (news || now_ >= sign_at_)) {
             sign_at_ = now_ + 2;
             if (!tell()) lose(ListLoss::unread);
         }
+        if (watching_ && silent_ && now_ >= sign_at_ + 1) lose(ListLoss::silent);
         if (call_at_ < 0 || now_ < call_at_) return;
         call_at_ = -1;
         if (now_ < out_until_) return lose(ListLoss::ended);
         watching_ = true, sign_at_ = now_ + 2;
         if (!tell()) lose(ListLoss::unread);
     }
-    // Each attempt ends in the next step, as the process that its connection leads to has it.
+    // Each attempt ends in the next step, as its pod has it then.
     void end_attempts() {
         for (const Sent& each : std::exchange(outcomes_, {})) {
             TruePod& at = pods_[each.pod];
-            std::erase_if(at.connections, [&](auto& c) { return c.first != at.process || chance(0.02); });
-            AttemptTimes times{now_, now_};
-            if (at.state != PodState::gone && (at.connections.empty() || chance(0.1)))
-                at.connections.push_back({at.process, now_});
-            else if (at.state != PodState::gone)
-                times.connected = at.connections.front().second;
             const bool refuses = at.state == PodState::draining && now_ >= at.refuses_at;
             const Outcome outcome = at.state == PodState::gone ? Outcome::unreachable
                                     : refuses                  ? Outcome::full
                                                                : Outcome::succeeded;
             choice_->dispatch_ended(now_, each.inv, DispatchNo{tries_[each.inv]++}, each.pod, outcome, 0.02,
-                                    outcome == Outcome::succeeded, {}, times);
+                                    outcome == Outcome::succeeded, {});
         }
     }
     void step() {
+        read_at_ = now_;
         now_ += 0.02;
         change_pods();
+        if (chance(0.0015)) stand_still();
         keep_watch();
         choice_->alarm_rang(now_, last_alarm);
         end_attempts();
@@ -190,7 +204,8 @@
 
     std::mt19937 rng_;
     Seconds now_ = 100, call_at_ = -1, sign_at_ = 0, out_until_ = 0;
-    bool watching_ = false, untold_ = true;
+    Seconds read_at_ = now_;  // what is read now came after that
+    bool watching_ = false, silent_ = false, untold_ = true;
     std::vector<PodLine> lines_;
     std::map<PodId, TruePod> pods_;
     std::vector<Change> changes_;
@@ -205,12 +220,10 @@
 TEST_CASE("a list holds for the time within which changes count as told, and the grace") {
     ListFreshness freshness(bounds());
     CHECK(freshness.usable_until() == -ListFreshness::kUnbounded);  // a copy may be of any age
-    CHECK(freshness.usable_until(150) == -ListFreshness::kUnbounded);
     freshness.confirmed(110);
     CHECK(freshness.usable_until() == Approx(116.4));  // 110 + 6 + 1, less 0.2 held up, 0.4 of a late change
     freshness.lost(112, ListLoss::ended);
     CHECK(freshness.usable_until() == Approx(116.4));
-    CHECK(freshness.usable_until(114) == Approx(120.8));  // it took an attempt then: 114 + 6 + 1 - 0.2
     freshness.confirmed(120);
     CHECK(freshness.usable_until() == Approx(126.4));
     const ListFreshness unbounded({});
@@ -224,8 +237,6 @@
     CHECK(freshness.usable_until() == Approx(111.8));
     freshness.lost(113, ListLoss::unread);
     CHECK(freshness.usable_until() == Approx(111.8));
-    CHECK(freshness.usable_until(113.5) == Approx(120.3));  // that pod took work after it was told
-    CHECK(freshness.usable_until(112) == Approx(112.8));    // and that one before the loss
     freshness.confirmed(114);
     CHECK(freshness.usable_until() == Approx(120.4));
 }
@@ -235,8 +246,7 @@
     freshness.confirmed(110);
     freshness.moved(110.5);
     freshness.moved(111);  // again before the first is through: the first time counts
-    CHECK(freshness.usable_until() == Approx(115.3));     // 110.5 + 4 + 1 - 0.2
-    CHECK(freshness.usable_until(116) == Approx(116.8));  // all that is told by then
+    CHECK(freshness.usable_until() == Approx(115.3));  // 110.5 + 4 + 1 - 0.2
     freshness.confirmed(117);
     CHECK(freshness.usable_until() == Approx(123.4));  // 117 + 6 + 1, less 0.2 and 0.4: the move is over
 }
@@ -295,41 +305,35 @@
     CHECK(most(ListLoss::unreachable) == Approx(0.4));
 }
 
-TEST_CASE("past the list's time work goes on to pods that answer on the connections they had") {
+TEST_CASE("past the list's time no pod gets anything new, whatever it answers, until the list is confirmed") {
     Sidecar s(bounded_terms());
-    s.choice.pods_listed(s.now, ListKind::whole, {pod("old", 1), pod("new", 1)});
-    s.choice.list_confirmed(s.now);
-    const Seconds listed = s.now;
-    s.choice.list_lost(s.now);
-    const auto serve = [&](Seconds span) {
-        for (const Seconds until = s.now + span; s.now < until; s.run(0.1)) {
-            const std::size_t before = s.host.sent.size();
-            const InvId inv = s.take();
-            if (s.host.sent.size() == before) continue;
-            const Sent sent = s.host.sent.back();
-            const bool kept = sent.pod.value == "old";
-            s.choice.dispatch_ended(s.now, inv, DispatchNo{0}, sent.pod, Outcome::succeeded, 0.05, true, {},
-                                    {kept ? listed - 1 : s.now, s.now});
-        }
+    s.choice.pods_listed(s.now, ListKind::whole, {pod("a", 1), pod("b", 1)});
+    const Seconds confirmed = s.now - 1;  // it had come a second before it was read
+    s.choice.list_confirmed(s.now, confirmed);
+    s.choice.list_lost(s.now, s.now, ListLoss::ended);
+    const auto serve = [&](Seconds until) {
+        for (; s.now < until; s.run(0.1)) s.serve([](const PodId&) { return Outcome::succeeded; });
     };
-    serve(7);
-    CHECK(s.sent_to("new") > 0);
-    const std::size_t before = s.sent_to("new");
-    serve(20);
-    CHECK(s.sent_to("new") == before);
+    serve(confirmed + 6.3);
+    const std::size_t before = s.host.sent.size();
+    CHECK(before > 40);
     CHECK(s.host.throttled.empty());
+    s.run(0.2);
+    serve(confirmed + 20);
+    CHECK(s.host.sent.size() == before);
+    CHECK(s.host.throttled.size() > 100);
     CHECK(s.host.noted("list expired"));
-    s.choice.list_confirmed(s.now);
-    serve(5);
-    CHECK(s.sent_to("new") > before);
+    s.choice.list_confirmed(s.now, s.now);
+    serve(s.now + 1);
+    CHECK(s.host.sent.size() > before);
     CHECK(s.host.noted("list holds again"));
 }
 
 TEST_CASE("what waits, for a pod or for its connection, does not go once the list is past its time") {
     Sidecar s(bounded_terms());
     s.choice.pods_listed(s.now, ListKind::whole, {pod("a", 1)});
-    s.choice.list_confirmed(s.now);
-    s.choice.list_lost(s.now);
+    s.choice.list_confirmed(s.now, s.now);
+    s.choice.list_lost(s.now, s.now, ListLoss::ended);
     s.run(6.3);
     const InvId inv = s.take();
     REQUIRE(s.host.sent.size() == 1);
--- a/tests/plain.cpp
+++ b/tests/plain.cpp
@@ -286,11 +286,11 @@
     terms["list.told"] = std::string("asked");
     Sidecar s(terms);
     CHECK(s.host.follows == 1);
-    s.choice.list_lost(s.now);
+    s.choice.list_lost(s.now, s.now, ListLoss::ended);
     s.run(0.5);
     CHECK(s.host.follows == 2);
     for (int losses = 2; losses < 12; ++losses) {
-        s.choice.list_lost(s.now);
+        s.choice.list_lost(s.now, s.now, ListLoss::ended);
         s.run(0.15);
         CHECK(s.host.follows == losses);  // not at once
         s.run(1.2);
@@ -327,8 +327,8 @@
         if (!overload.watched) continue;
         s.run(2);
         s.choice.pods_listed(s.now, ListKind::whole, {pod("a", 1)});
-        s.choice.list_confirmed(s.now);
-        s.choice.list_lost(s.now);
+        s.choice.list_confirmed(s.now, s.now);
+        s.choice.list_lost(s.now, s.now, ListLoss::ended);
     }
     const Seconds begun = all[0]->now;
     Seconds free_at = begun;
@@ -339,7 +339,7 @@
             if (s.host.follows == follows[i]) continue;
             follows[i] = s.host.follows;
             if (overload.call * static_cast<double>(queue.size()) > kQueueMost)
-                s.choice.list_lost(s.now);  // refused at once
+                s.choice.list_lost(s.now, s.now, ListLoss::ended);  // refused at once
             else
                 queue.push_back({i, s.now});
         }
@@ -348,7 +348,7 @@
             const Asked first = queue.front();
             Sidecar& s = *all[first.whose];
             if (now - first.at > kPatience)
-                s.choice.list_lost(s.now);
+                s.choice.list_lost(s.now, s.now, ListLoss::ended);
             else if (answered.emplace(first.whose, now - begun).second)
                 s.choice.pods_listed(s.now, ListKind::whole, {pod("a", 1)});
         }
--- a/tests/random.cpp
+++ b/tests/random.cpp
@@ -262,7 +262,7 @@
         if (list_answer > 0 && now >= list_answer) {
             list_answer = -1;
             if (chance(0.5))
-                choice.list_lost(now);
+                choice.list_lost(now, now, ListLoss::ended);
             else
                 tell_pods(choice, ListKind::whole);
         }
--- a/tests/stale_list.cpp
+++ b/tests/stale_list.cpp
@@ -108,7 +108,7 @@
     CHECK(client.answer() == "1");
 }
 
-TEST_CASE("a pod that goes on answering on its connection is used while the register refuses all") {
+TEST_CASE("a pod that goes on answering gets nothing new either once the list is past its time") {
     Rig rig(1);
     rig.begin();
     Peer client = rig.client();
@@ -122,20 +122,55 @@
     rig.watch.close();
     const double lost = now();
     int answered = 0;
-    while (now() < lost + kToldWithin + 2 * kGrace) {
-        refuse_calls(rig, now() + 0.5);
+    while (now() < lost + kToldWithin + kGrace) {
+        refuse_calls(rig, now() + 0.3);
         client.send(invocation());
-        if (pod.message().first != 'Q') break;
-        pod.send(served("1"));
+        if (client.quiet(0.05)) {
+            if (pod.message().first != 'Q') break;
+            pod.send(served("1"));
+        }
         answered += client.answer() == "1";
     }
     CHECK(answered >= 10);
-    pod.close();  // it leaves; what comes to its address is another
-    refuse_calls(rig, now() + 0.2);
-    CHECK(served_anew(rig, client) == "1");  // no end of it counts as told yet
-    refuse_calls(rig, now() + kToldWithin + kGrace);
     client.send(invocation());
     CHECK(client.answer(kQuiet) == "!53300");
+    CHECK(pod.quiet(0.1));
+}
+
+TEST_CASE("a sign of life that a process reads after it stood still confirms only what it was written for") {
+    Rig rig(1);
+    rig.begin();
+    Peer client = rig.client();
+    rig.watch.send(chunk("\n"));
+    rest(0.1);
+    rig.signal(SIGSTOP);
+    rig.watch.send(chunk("\n"));  // then the watch falls silent
+    const double written = now();
+    rest(4);
+    rig.signal(SIGCONT);
+    refuse_calls(rig, written + kToldWithin - 1);
+    CHECK(served_anew(rig, client) == "1");
+    refuse_calls(rig, written + kToldWithin + kGrace);
+    client.send(invocation());
+    CHECK(client.answer(kQuiet) == "!53300");
+    CHECK_FALSE(rig.pod(kQuiet));
+}
+
+TEST_CASE("an accepted call that tells nothing confirms the list as it was when the call was accepted") {
+    Rig rig(1);
+    rig.start();
+    Peer client = rig.client();
+    Peer watch = rig.list.take();
+    watch.upto("\r\n\r\n");
+    watch.send(kStream);
+    const double accepted = now();
+    rest(kHeadSettled + 0.2);
+    CHECK(served_anew(rig, client) == "1");
+    watch.close();
+    refuse_calls(rig, accepted + kToldWithin + kGrace);
+    client.send(invocation());
+    CHECK(client.answer(kQuiet) == "!53300");
+    CHECK_FALSE(rig.pod(kQuiet));
 }
 
 TEST_CASE("a change of which only a part comes counts as told") {
