Rig: a scenario of leases begins when one holder has the lease and all others wait for it

Cause, in the test: CouncilWorld::begin waited for planners that vote and a first act only. Holders that had asked before the planners had a leader pause for up to 4 s (answer_wait times 8). If the lease is taken away meanwhile, nobody waits for it, and the one that had it asks first and gets it again, as it should. Change: begin waits until the table shows all other holders in line; the scenarios after it are as strict as before.

--- a/tools/rig/council.cpp
+++ b/tools/rig/council.cpp
@@ -21,7 +21,8 @@
 using namespace stand;
 
 constexpr int kTargetPort = 7700, kTargetHost = 9 * 256;
-constexpr Seconds kTogether = 20;  // s: until a new cluster is there
+constexpr Seconds kTogether = 20;      // s: until a new cluster is there
+constexpr const char* kTask = "task";  // the lease that the holders want
 
 }  // namespace
 
@@ -124,6 +125,10 @@
     for (int i = wish.planners + 1; i <= wish.planners + wish.holders; ++i) start(i);
     if (!run_until(kTogether, [&] { return well() && (wish.holders == 0 || !acts.empty()); }))
         throw std::runtime_error("the planners did not come together");
+    // Danger: a holder that asked before the planners had a leader pauses for up to 4 s. A lease that is
+    // taken away while nobody waits goes back to the one that had it.
+    if (!run_until(kTogether, [&] { return wish.holders == 0 || all_holders_wait(); }))
+        throw std::runtime_error("the holders do not wait for the lease");
 }
 
 void CouncilWorld::acted(const std::string& line) {
@@ -167,6 +172,14 @@
     }
     return false;
 }
+bool CouncilWorld::all_holders_wait() {
+    const auto its = table(leader());
+    if (!its) return false;
+    const auto& leases = its->leases();
+    const auto task =
+        std::find_if(leases.begin(), leases.end(), [](auto& each) { return each.name() == kTask; });
+    return task != leases.end() && task->waiting_size() == wish.holders - 1;
+}
 
 void CouncilWorld::apply(const Event& event) {
     const std::string& what = event.what;
@@ -213,7 +226,7 @@
         wire::LeaseAsk ask_for;
         ask_for.set_what(what == "admit" ? wire::LeaseAsk::ADMIT : wire::LeaseAsk::TAKE_AWAY);
         (what == "admit" ? *ask_for.mutable_key() : *ask_for.mutable_lease()) =
-            what == "admit" ? name_of(one) : "task";
+            what == "admit" ? name_of(one) : kTask;
         if (const int by = leader(); by > 0) ask(by, ask_for);
     } else if (what == "disk") {  // 0 good, 1 fsync fails, 2 full, 3 the clock an hour back
         const std::string path = fmt::format("{}/{}.bad", folder, name_of(one));
--- a/tools/rig/council.hpp
+++ b/tools/rig/council.hpp
@@ -53,6 +53,9 @@
     std::optional<wire::PlannerTable> table(int planner);
     int leader();  // 0: none that answers
     bool well();   // all planners vote, and one leads
+    // One holder has the lease of the task and all others wait for it, so that whoever loses it has a
+    // successor.
+    bool all_holders_wait();
     std::string log_of(int node) const;
     std::string folder_of(int planner) const;
     std::string name_of(int node) const;
