--- a/src/cli/ask.cpp
+++ b/src/cli/ask.cpp
@@ -166,7 +166,7 @@
     if (!address) throw std::runtime_error("no address: " + wish.at + "; it is to be host:port in digits");
     net::Loop loop;
     Question question(loop, *address, wish.audit);
-    loop.due.at(net::clock_now() + wish.within, [&] {
+    loop.timers.at(net::clock_now() + wish.within, [&] {
         question.over = true;
         if (question.why.empty()) question.why = fmt::format("nothing more came within {} s", wish.within);
     });
--- a/src/cli/holdings.cpp
+++ b/src/cli/holdings.cpp
@@ -234,7 +234,7 @@
     ask.set_give_up(wish.give_up), ask.set_epochs_of(wish.epochs_of);
     net::Loop loop;
     fleet::HoldingsQuestion asking(loop, *address, ask);
-    loop.due.at(net::clock_now() + wish.within, [&] {
+    loop.timers.at(net::clock_now() + wish.within, [&] {
         asking.over = true;
         if (asking.why.empty()) asking.why = fmt::format("no answer within {} s", wish.within);
     });
--- a/src/cli/lease.cpp
+++ b/src/cli/lease.cpp
@@ -103,7 +103,7 @@
     (wish.what == LeaseWish::take_away ? *ask.mutable_lease() : *ask.mutable_key()) = wish.name;
     net::Loop loop;
     planner::Inquiry inquiry(loop, *address, ask);
-    loop.due.at(net::clock_now() + wish.within, [&] {
+    loop.timers.at(net::clock_now() + wish.within, [&] {
         inquiry.over = true;
         if (inquiry.why.empty()) inquiry.why = fmt::format("no answer within {} s", wish.within);
     });
@@ -159,7 +159,7 @@
             fmt::print("{} {}: nobody\n", now, holds.lease());
         std::fflush(stdout);
     });
-    if (wish.within > 0) loop.due.at(net::clock_now() + wish.within, [&] { over = true; });
+    if (wish.within > 0) loop.timers.at(net::clock_now() + wish.within, [&] { over = true; });
     while (!over && !its.over) loop.pass();
     if (its.over) fmt::print(stderr, "tideline: {}: the connection ended\n", wish.at);
     return its.over || !told ? 2 : 0;
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -19,9 +19,9 @@
   public:
     Reading(Loop& loop, Log& log, Sidecar& sidecar, fleet::Fellow* fellow, const ServeWish& wish)
         : loop_(loop), log_(log), sidecar_(sidecar), fellow_(fellow), wish_(wish) {}
-    ~Reading() { loop_.due.cancel(again_); }
+    ~Reading() { loop_.timers.cancel(again_); }
     void begin() {
-        loop_.due.cancel(again_);
+        loop_.timers.cancel(again_);
         pause_ = kReopenFirst;
         asked_at_ = loop_.arrived_after();
         attempt(true);
@@ -29,7 +29,7 @@
 
   private:
     void attempt(bool first) {
-        again_ = Due::kNone;
+        again_ = Timers::kNone;
         try {
             // Danger: of two files one might be taken up and the other not. Both are read first.
             const SidecarConfig config = read_sidecar_config(wish_.told);
@@ -37,7 +37,7 @@
             sidecar_.take_up(config, asked_at_);
         } catch (const std::exception& error) {
             if (first) log_.line("SIGHUP: {}; what stands stays, read again soon", error.what());
-            again_ = loop_.due.at(clock_now() + pause_, [this] { attempt(false); });
+            again_ = loop_.timers.at(clock_now() + pause_, [this] { attempt(false); });
             pause_ = std::min(kReopenMost, 2 * pause_);
         }
     }
@@ -48,7 +48,7 @@
     const ServeWish wish_;
     Seconds pause_ = kReopenFirst;
     Seconds asked_at_ = 0;  // the signal came no earlier
-    Due::Key again_ = Due::kNone;
+    Timers::Id again_ = Timers::kNone;
 };
 
 constexpr Seconds kSettleMost = 0.5;  // s: beyond that an ordered end waits for nobody
@@ -115,7 +115,7 @@
         ending = true;
         log.line("SIGTERM: serves on for {} s, then lets clients go", kLetGoAfter);
         if (fellow) fellow->leave();
-        loop.due.at(clock_now() + kLetGoAfter, [&] { sidecar.let_go(); });
+        loop.timers.at(clock_now() + kLetGoAfter, [&] { sidecar.let_go(); });
     }
     sidecar.report();
     log.line("ends: all that was taken is answered");
--- a/src/fleet/duties.cpp
+++ b/src/fleet/duties.cpp
@@ -28,7 +28,7 @@
       tenant_(loop, log, *this, treaty.planners, treaty.lessee, treaty.address, {treaty.name, life}),
       roll_call_(*this, treaty.roll_call),
       pace_(*this, with(terms, treaty.warming)) {}
-Duties::~Duties() { loop_.due.cancel(ring_); }
+Duties::~Duties() { loop_.timers.cancel(ring_); }
 
 void Duties::begin() {
     if (calls_) tenant_.want(kRollCall);
@@ -168,11 +168,11 @@
 }
 
 void Duties::ring() {
-    loop_.due.cancel(ring_);
+    loop_.timers.cancel(ring_);
     const Seconds at = std::min(roll_call_.due(), pace_.due());
     if (at == std::numeric_limits<double>::infinity()) return;
-    ring_ = loop_.due.at(at, [this] {
-        ring_ = net::Due::kNone;
+    ring_ = loop_.timers.at(at, [this] {
+        ring_ = net::Timers::kNone;
         const Seconds now = net::clock_now();
         roll_call_.tick(now);
         if (now >= pace_.due()) deal();
--- a/src/fleet/duties.hpp
+++ b/src/fleet/duties.hpp
@@ -82,7 +82,7 @@
     std::map<std::string, std::string> texts_;
     Name steward_;  // who sees to the copies
     Stretch sent_;
-    net::Due::Key ring_ = net::Due::kNone;
+    net::Timers::Id ring_ = net::Timers::kNone;
 };
 
 }  // namespace tideline::fleet
--- a/src/fleet/fellow.cpp
+++ b/src/fleet/fellow.cpp
@@ -104,8 +104,8 @@
     trustee_ = std::make_unique<Trustee>(loop, log, holder, treaty, archive_.life(), fresh_disk());
 }
 Fellow::~Fellow() {
-    loop_.due.cancel(ring_);
-    loop_.due.cancel(review_);
+    loop_.timers.cancel(ring_);
+    loop_.timers.cancel(review_);
 }
 
 void Fellow::begin(net::Ward& ward) {
@@ -210,7 +210,7 @@
     if (!archive_.keep(epoch) && !std::exchange(archive_full_, true))
         log_.alarm("fleet: epochs can't be written to {}", treaty_.folder);
     // Danger: the ledger is in the middle of its seal, and every word shows the newest one.
-    if (trustee_) loop_.due.soon([this, epoch] { trustee_->sealed(epoch); });
+    if (trustee_) loop_.timers.soon([this, epoch] { trustee_->sealed(epoch); });
 }
 
 // --- What is said to others
@@ -315,7 +315,7 @@
         log_.line("audit: this member takes the stand '{}'", word_of(stand));
     stand_ = stand;
     // The cores are not called back from within their own calls.
-    loop_.due.soon([this] {
+    loop_.timers.soon([this] {
         if (ward_) ward_->stand(stand_);
         acts();
     });
@@ -377,7 +377,7 @@
     currency_.handed_over(net::clock_now(), by, subject, mark);
 }
 void Fellow::take_up(Subject subject, const Mark& mark) {
-    loop_.due.soon([this, subject, mark] {
+    loop_.timers.soon([this, subject, mark] {
         const auto it = offers_.find(subject);
         if (!ward_ || it == offers_.end() || it->second.first != mark) return;
         const wire::HandOver over = it->second.second;
@@ -514,9 +514,9 @@
 
 // --- Deadlines
 void Fellow::ring() {
-    loop_.due.cancel(ring_);
-    ring_ = loop_.due.at(roll_.due(), [this] {
-        ring_ = net::Due::kNone;
+    loop_.timers.cancel(ring_);
+    ring_ = loop_.timers.at(roll_.due(), [this] {
+        ring_ = net::Timers::kNone;
         roll_.tick(net::clock_now());
         ring();
     });
@@ -524,8 +524,8 @@
 void Fellow::review() {
     currency_.tick(net::clock_now());
     tend_inquiries();
-    review_ = loop_.due.at(net::clock_now() + std::min(kReviewMost, kReviewPart * treaty_.currency.grace),
-                           [this] { review(); });
+    review_ = loop_.timers.at(net::clock_now() + std::min(kReviewMost, kReviewPart * treaty_.currency.grace),
+                              [this] { review(); });
 }
 
 // --- Audit
@@ -613,7 +613,7 @@
     send(to, said);
 }
 void Fellow::pace(const PodId& pod, double most, Seconds valid) {
-    loop_.due.soon([this, pod, most, valid] {
+    loop_.timers.soon([this, pod, most, valid] {
         if (ward_) ward_->pace(pod, most, valid);
     });
 }
--- a/src/fleet/fellow.hpp
+++ b/src/fleet/fellow.hpp
@@ -163,7 +163,7 @@
     audit::Currency currency_;
     std::unique_ptr<Duties> duties_;    // none without planners
     std::unique_ptr<Trustee> trustee_;  // none where nothing is held for others
-    net::Due::Key ring_ = net::Due::kNone, review_ = net::Due::kNone;
+    net::Timers::Id ring_ = net::Timers::kNone, review_ = net::Timers::kNone;
     bool archive_full_ = false, began_ = false;
 };
 
--- a/src/fleet/parley.cpp
+++ b/src/fleet/parley.cpp
@@ -80,7 +80,7 @@
       }) {
     tend();
 }
-Parley::~Parley() { loop_.due.cancel(tend_); }
+Parley::~Parley() { loop_.timers.cancel(tend_); }
 
 bool Parley::listen(const net::Address& address) { return listener_.listen(address); }
 
@@ -184,7 +184,7 @@
         if (mute || half || now > link->used + kIdle) over.push_back(link->no);
     });
     for (const LinkNo no : over) drop(no, false);
-    tend_ = loop_.due.at(now + kTendEvery, [this] { tend(); });
+    tend_ = loop_.timers.at(now + kTendEvery, [this] { tend(); });
 }
 
 }  // namespace tideline::fleet
--- a/src/fleet/parley.hpp
+++ b/src/fleet/parley.hpp
@@ -61,7 +61,7 @@
     net::Listener listener_;
     net::Slots<std::unique_ptr<Link>> links_;
     std::map<Name, LinkNo> by_name_;
-    net::Due::Key tend_ = net::Due::kNone;
+    net::Timers::Id tend_ = net::Timers::kNone;
     std::uint64_t bytes_sent_ = 0, frames_sent_ = 0;
 };
 
--- a/src/fleet/tenant.cpp
+++ b/src/fleet/tenant.cpp
@@ -34,8 +34,8 @@
       lessee_(*this, terms, self.life),
       at_(self.life.value % planners.size()) {}
 Tenant::~Tenant() {
-    loop_.due.cancel(ring_);
-    loop_.due.cancel(watch_);
+    loop_.timers.cancel(ring_);
+    loop_.timers.cancel(watch_);
 }
 
 void Tenant::want(const LeaseName& lease) {
@@ -48,7 +48,7 @@
 }
 void Tenant::watch() {
     say(ask(wire::LeaseAsk::WATCH, kExtras, {}, {}));
-    watch_ = loop_.due.at(net::clock_now() + kWatchEvery, [this] { watch(); });
+    watch_ = loop_.timers.at(net::clock_now() + kWatchEvery, [this] { watch(); });
 }
 std::optional<Fence> Tenant::may_act(const LeaseName& lease) const {
     return lessee_.may_act(lasting_now(), lease);
@@ -84,14 +84,14 @@
 void Tenant::another_planner() { at_ = (at_ + 1) % planners_.size(); }
 void Tenant::held(const LeaseName& lease, Fence fence) {
     log_.line("leases: holds '{}' under fence {}", lease.value, fence.value);
-    loop_.due.soon([this, lease, fence] { owner_.lease_held(lease, fence); });
+    loop_.timers.soon([this, lease, fence] { owner_.lease_held(lease, fence); });
 }
 void Tenant::lost(const LeaseName& lease, Fence fence, lease::Loss why) {
     log_.line("leases: holds '{}' no more, fence {}: {}", lease.value, fence.value,
               why == lease::Loss::given_back  ? "given back"
               : why == lease::Loss::time_over ? "its time is over"
                                               : "the planners say so");
-    loop_.due.soon([this, lease, fence] { owner_.lease_lost(lease, fence); });
+    loop_.timers.soon([this, lease, fence] { owner_.lease_lost(lease, fence); });
 }
 
 void Tenant::alarm(const LeaseName& lease, bool raised, const std::string& key, const std::string& text) {
@@ -194,11 +194,11 @@
     ring();
 }
 void Tenant::ring() {
-    loop_.due.cancel(ring_);
+    loop_.timers.cancel(ring_);
     const Seconds at = lessee_.due();
     if (at == std::numeric_limits<double>::infinity()) return;
-    ring_ = loop_.due.at(net::clock_now() + std::max(0.0, at - lasting_now()), [this] {
-        ring_ = net::Due::kNone;
+    ring_ = loop_.timers.at(net::clock_now() + std::max(0.0, at - lasting_now()), [this] {
+        ring_ = net::Timers::kNone;
         lessee_.tick(lasting_now());
         ring();
     });
--- a/src/fleet/tenant.hpp
+++ b/src/fleet/tenant.hpp
@@ -89,7 +89,7 @@
     bool told_cluster_ = false;
     std::map<std::uint64_t, Extra> extras_;
     std::uint64_t last_extra_ = 0;
-    net::Due::Key ring_ = net::Due::kNone, watch_ = net::Due::kNone;
+    net::Timers::Id ring_ = net::Timers::kNone, watch_ = net::Timers::kNone;
 };
 
 }  // namespace tideline::fleet
--- a/src/fleet/trustee.cpp
+++ b/src/fleet/trustee.cpp
@@ -89,8 +89,8 @@
 }
 Trustee::~Trustee() {
     loop_.forget(cabinet_.ready());
-    for (auto* key : {&ring_, &scrub_, &poll_}) loop_.due.cancel(*key);
-    for (auto& [name, key] : leaving_) loop_.due.cancel(key);
+    for (auto* key : {&ring_, &scrub_, &poll_}) loop_.timers.cancel(*key);
+    for (auto& [name, key] : leaving_) loop_.timers.cancel(key);
 }
 void Trustee::begin(net::Ward& ward) {
     ward_ = &ward;
@@ -103,11 +103,11 @@
 
 Seconds Trustee::time() const { return lasting_now(); }
 void Trustee::ring() {
-    loop_.due.cancel(ring_);
+    loop_.timers.cancel(ring_);
     const Seconds at = std::min({keeper_->due(), claims_.due(), steward_.due()});
     if (at == std::numeric_limits<double>::infinity()) return;
-    ring_ = loop_.due.at(net::clock_now() + std::max(0.0, at - lasting_now()), [this] {
-        ring_ = net::Due::kNone;
+    ring_ = loop_.timers.at(net::clock_now() + std::max(0.0, at - lasting_now()), [this] {
+        ring_ = net::Timers::kNone;
         const Seconds now = lasting_now();
         if (works_) keeper_->tick(now);
         claims_.tick(now);
@@ -142,14 +142,14 @@
     if (slots > 0 && works_) cabinet_.scrub({scrubbed_++ % static_cast<std::uint32_t>(slots)});
     // All slots once in the time told.
     const Seconds every = terms_.scrub / static_cast<double>(std::max<std::size_t>(1, slots));
-    scrub_ = loop_.due.at(net::clock_now() + every, [this] { scrub(); });
+    scrub_ = loop_.timers.at(net::clock_now() + every, [this] { scrub(); });
 }
 
 // --- The planners' word
 void Trustee::want_table(holdings::View) {
-    loop_.due.cancel(poll_);
-    poll_ = loop_.due.at(net::clock_now() + kPollEvery, [this] { want_table({}); });
-    loop_.due.soon([this] { owner_.read_table(); });
+    loop_.timers.cancel(poll_);
+    poll_ = loop_.timers.at(net::clock_now() + kPollEvery, [this] { want_table({}); });
+    loop_.timers.soon([this] { owner_.read_table(); });
 }
 void Trustee::newest_is(std::uint64_t number) {
     newest_ = std::max(newest_, number);
@@ -194,7 +194,7 @@
     ring();
 }
 void Trustee::propose(const holdings::Table& table) {
-    loop_.due.soon([this, number = table.number.value, bytes = holdings::bytes_of(table)] {
+    loop_.timers.soon([this, number = table.number.value, bytes = holdings::bytes_of(table)] {
         owner_.write_table(number, bytes);
     });
 }
@@ -214,20 +214,20 @@
 void Trustee::member_is(const Entry& entry) {
     const bool gone = entry.standing >= Standing::gone;
     steward_.member_is(lasting_now(), entry.name, entry.life, entry.place, !gone);
-    net::Due::Key& leaving = leaving_[entry.name];
-    loop_.due.cancel(leaving);
+    net::Timers::Id& leaving = leaving_[entry.name];
+    loop_.timers.cancel(leaving);
     if (entry.standing != Standing::left)
         return claims_.member_is(lasting_now(), entry.name, entry.life, gone);
     // One that leaves in order still answers what it took. Its dispatches are no dead one's yet.
-    leaving = loop_.due.at(net::clock_now() + kLeaves, [this, name = entry.name, life = entry.life] {
-        leaving_[name] = net::Due::kNone;
+    leaving = loop_.timers.at(net::clock_now() + kLeaves, [this, name = entry.name, life = entry.life] {
+        leaving_[name] = net::Timers::kNone;
         claims_.member_is(lasting_now(), name, life, true);
     });
 }
 void Trustee::post(const Name& to, const wire::Holding& word) {
     if (to != self_) return owner_.say_holding(to, word);
     // The cores are not called back from within their own calls.
-    loop_.due.soon([this, word] { said(self_, life_, word); });
+    loop_.timers.soon([this, word] { said(self_, life_, word); });
 }
 wire::HeldReport Trustee::report() {
     holdings::Report report = keeper_->report(lasting_now());
@@ -293,16 +293,16 @@
 }
 // The sidecar is told from the loop: it may ask again at once.
 void Trustee::go(InvId inv, DispatchNo no) {
-    loop_.due.soon([this, inv, no] { ward_->go(inv, no); });
+    loop_.timers.soon([this, inv, no] { ward_->go(inv, no); });
 }
 void Trustee::cannot(InvId inv, Seconds come_back) {
-    loop_.due.soon([this, inv, come_back] { ward_->cannot(inv, come_back); });
+    loop_.timers.soon([this, inv, come_back] { ward_->cannot(inv, come_back); });
 }
 void Trustee::waits(InvId inv) {
-    loop_.due.soon([this, inv] { ward_->waits(inv); });
+    loop_.timers.soon([this, inv] { ward_->waits(inv); });
 }
 void Trustee::kept(InvId inv, const std::string& answer) {
-    loop_.due.soon([this, inv, answer] { ward_->kept(inv, answer); });
+    loop_.timers.soon([this, inv, answer] { ward_->kept(inv, answer); });
 }
 void Trustee::enter(InvId inv, const std::vector<holdings::Try>& earlier) {
     std::vector<Dispatch> dispatches;
@@ -313,10 +313,10 @@
         one.sent = clock - (now - each.sent), one.ended = true, one.may_have_run = true;
         dispatches.push_back(std::move(one));
     }
-    loop_.due.soon([this, inv, dispatches = std::move(dispatches)] { ward_->enter(inv, dispatches); });
+    loop_.timers.soon([this, inv, dispatches = std::move(dispatches)] { ward_->enter(inv, dispatches); });
 }
 void Trustee::unknown(InvId inv) {
-    loop_.due.soon([this, inv] { ward_->unknown(inv); });
+    loop_.timers.soon([this, inv] { ward_->unknown(inv); });
 }
 
 // --- Sealed epochs
@@ -380,7 +380,7 @@
         *row.mutable_report() = report();
     }
     tend_inquiries();
-    loop_.due.at(net::clock_now() + kInquireFor, [this] { tend_inquiries(); });
+    loop_.timers.at(net::clock_now() + kInquireFor, [this] { tend_inquiries(); });
     ring();
 }
 void Trustee::look_for(Inquiry& inquiry, const Key& key, const std::string& what) {
@@ -391,7 +391,7 @@
     if (key == key_of_seals(self_) && !std::exchange(knows_seals_, true)) {
         for (const auto& [life, last] : seals_from(record ? record->answer : ""))
             seals_.try_emplace(life, last);
-        if (seals_.contains(life_.value)) loop_.due.soon([this] { tell_seals(), ring(); });
+        if (seals_.contains(life_.value)) loop_.timers.soon([this] { tell_seals(), ring(); });
     }
     for (auto& [no, inquiry] : inquiries_) {
         const auto look = inquiry.looks.find(key);
@@ -407,13 +407,13 @@
                     const Key epoch = key_of_epoch(member, life, i);
                     inquiry.looks[epoch] = "epoch";
                     // Asked from the loop: the claims are in the middle of an answer.
-                    loop_.due.soon([this, epoch] { claims_.look(lasting_now(), epoch), ring(); });
+                    loop_.timers.soon([this, epoch] { claims_.look(lasting_now(), epoch), ring(); });
                 }
         } else if (record && record->answered) {
             inquiry.answer.add_epochs(record->answer);
         }
     }
-    loop_.due.soon([this] { tend_inquiries(); });
+    loop_.timers.soon([this] { tend_inquiries(); });
 }
 void Trustee::tend_inquiries() {
     const Seconds now = lasting_now();
--- a/src/fleet/trustee.hpp
+++ b/src/fleet/trustee.hpp
@@ -116,7 +116,7 @@
     std::unique_ptr<holdings::Keeper> keeper_;
     bool works_ = true, holds_ = false, told_older_ = false;
     Seconds older_since_ = 0;  // the planners' table is one that is not acted on; 0: it is not so
-    std::map<Name, net::Due::Key> leaving_;
+    std::map<Name, net::Timers::Id> leaving_;
     std::uint64_t newest_ = 0;
     std::map<std::uint64_t, Inquiry> inquiries_;
     std::uint64_t inquired_ = 0;
@@ -125,7 +125,7 @@
     std::map<std::uint64_t, std::uint64_t, std::greater<>> seals_;
     bool knows_seals_ = false;
     std::uint32_t scrubbed_ = 0;
-    net::Due::Key ring_ = net::Due::kNone, scrub_ = net::Due::kNone, poll_ = net::Due::kNone;
+    net::Timers::Id ring_ = net::Timers::kNone, scrub_ = net::Timers::kNone, poll_ = net::Timers::kNone;
 };
 
 }  // namespace tideline::fleet
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -14,9 +14,9 @@
         open(call.address_);
     }
     ~Stream() override {
-        loop_.due.cancel(limit_);
-        loop_.due.cancel(whole_by_);
-        loop_.due.cancel(settled_);
+        loop_.timers.cancel(limit_);
+        loop_.timers.cancel(whole_by_);
+        loop_.timers.cancel(settled_);
     }
     bool urgent() const override { return true; }
 
@@ -44,8 +44,8 @@
     void head(int status) override {
         if (status != 200) lost_ = CallLoss{ListLoss::ended, fmt::format("status {}", status)};
         if (lost_ || !call_.told_.accepted) return;
-        settled_ = loop_.due.at(clock_now() + call_.told_.settle, [this, headed = loop_.arrived_after()] {
-            settled_ = Due::kNone;
+        settled_ = loop_.timers.at(clock_now() + call_.told_.settle, [this, headed = loop_.arrived_after()] {
+            settled_ = Timers::kNone;
             if (!closed() && !call_.spoke_ && !objects_.within()) call_.told_.accepted(headed);
         });
     }
@@ -53,20 +53,20 @@
         if (lost_) return;
         const auto read = objects_.add(bytes, kObjectMost, [&](const std::string& text) {
             if (closed()) return;
-            if (text.empty() && settled_ != Due::kNone) return;  // says no more than the head
-            loop_.due.cancel(settled_);
+            if (text.empty() && settled_ != Timers::kNone) return;  // says no more than the head
+            loop_.timers.cancel(settled_);
             call_.spoke_ = true;
-            loop_.due.cancel(whole_by_);
+            loop_.timers.cancel(whole_by_);
             call_.told_.object(text);
         });
         if (closed()) return;
         if (read == Objects::Read::broken) lost_ = CallLoss{ListLoss::unread, "what can't be read"};
         if (read == Objects::Read::endless) lost_ = CallLoss{ListLoss::unread, "endless object"};
         // Danger: one that was cut off is waited for in vain, and signs of life go on behind it.
-        if (!objects_.within()) return loop_.due.cancel(whole_by_);
-        if (whole_by_ != Due::kNone) return;
-        whole_by_ = loop_.due.at(clock_now() + kObjectWithin, [this] {
-            whole_by_ = Due::kNone;
+        if (!objects_.within()) return loop_.timers.cancel(whole_by_);
+        if (whole_by_ != Timers::kNone) return;
+        whole_by_ = loop_.timers.at(clock_now() + kObjectWithin, [this] {
+            whole_by_ = Timers::kNone;
             if (!closed()) call_.lose({ListLoss::unread, "half an object"});
         });
         if (call_.told_.begun) call_.told_.begun();
@@ -78,9 +78,9 @@
 
   private:
     void wait(Seconds span, const CallLoss& loss) {
-        loop_.due.cancel(limit_);
-        limit_ = loop_.due.at(clock_now() + span, [this, loss] {
-            limit_ = Due::kNone;
+        loop_.timers.cancel(limit_);
+        limit_ = loop_.timers.at(clock_now() + span, [this, loss] {
+            limit_ = Timers::kNone;
             if (!closed()) call_.lose(loss);
         });
     }
@@ -91,7 +91,7 @@
     Objects objects_;
     bool came_up_ = false, whole_ = false;
     std::optional<CallLoss> lost_;
-    Due::Key limit_ = Due::kNone, whole_by_ = Due::kNone, settled_ = Due::kNone;
+    Timers::Id limit_ = Timers::kNone, whole_by_ = Timers::kNone, settled_ = Timers::kNone;
 };
 
 Call::Call(Loop& loop, Address address) : loop_(loop), address_(address) {}
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -17,8 +17,8 @@
   public:
     explicit Client(Clients& all) : Link(all.loop_, kMessageMost + kRingFirst), all_(all) {}
     ~Client() override {
-        loop_.due.cancel(limit_);
-        loop_.due.cancel(going_on_);
+        loop_.timers.cancel(limit_);
+        loop_.timers.cancel(going_on_);
     }
     void begin(ClientNo no, int fd) {
         no_ = no, begun_ = clock_now();
@@ -35,9 +35,9 @@
     // Danger: an answer is given in the module's own call; the next query may not be read inside it. Nor may
     // a client that sends hundreds of commands at once hold up the others.
     void go_on(Seconds after = 0) {
-        if (going_on_ == Due::kNone)
-            going_on_ = loop_.due.at(after > 0 ? clock_now() + after : 0, [this] {
-                going_on_ = Due::kNone;
+        if (going_on_ == Timers::kNone)
+            going_on_ = loop_.timers.at(after > 0 ? clock_now() + after : 0, [this] {
+                going_on_ = Timers::kNone;
                 look_again();
             });
     }
@@ -113,7 +113,7 @@
                                            : Mood::idle;
         if (mood == mood_) return;
         mood_ = mood;
-        loop_.due.cancel(limit_);
+        loop_.timers.cancel(limit_);
         const bool silent = mood == Mood::fresh || mood == Mood::ending;
         all_.stand(no_, silent               ? Use::none
                         : mood == Mood::part ? Use::half
@@ -130,14 +130,14 @@
         else if (mood == Mood::idle)
             all_.trim();
         else if (mood == Mood::ending)
-            limit_ = loop_.due.at(clock_now() + (refused_ ? kFarewell : kLinger), [this] {
-                limit_ = Due::kNone;
+            limit_ = loop_.timers.at(clock_now() + (refused_ ? kFarewell : kLinger), [this] {
+                limit_ = Timers::kNone;
                 all_.remove(no_);
             });
     }
     void over_after(Seconds span, const char* why) {
-        limit_ = loop_.due.at(clock_now() + span, [this, why] {
-            limit_ = Due::kNone;
+        limit_ = loop_.timers.at(clock_now() + span, [this, why] {
+            limit_ = Timers::kNone;
             fatal("08P01", why);
         });
     }
@@ -238,12 +238,12 @@
     std::size_t seen_ = 0;  // bytes of a message not yet whole, when it was last looked at
     Seconds begun_ = 0;     // when that message may have begun
     Mood mood_ = Mood::none;
-    Due::Key limit_ = Due::kNone, going_on_ = Due::kNone;
+    Timers::Id limit_ = Timers::kNone, going_on_ = Timers::kNone;
 };
 
 Clients::Clients(Loop& loop, Owner& owner, Seconds longest) : loop_(loop), owner_(owner), longest_(longest) {}
 Clients::~Clients() {
-    loop_.due.cancel(trim_);
+    loop_.timers.cancel(trim_);
     stop_listening();
 }
 
@@ -255,7 +255,7 @@
 }
 
 void Clients::stop_listening() {
-    loop_.due.cancel(again_);
+    loop_.timers.cancel(again_);
     if (fd_ < 0) return;
     loop_.forget(fd_);
     ::close(fd_);
@@ -277,9 +277,9 @@
         if (room && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
         // Danger: with no descriptor left the listener stays ready, and the loop would spin.
         loop_.want(fd_, 0);
-        if (again_ == Due::kNone)
-            again_ = loop_.due.at(clock_now() + kReopenFirst / 4, [this] {
-                again_ = Due::kNone;
+        if (again_ == Timers::kNone)
+            again_ = loop_.timers.at(clock_now() + kReopenFirst / 4, [this] {
+                again_ = Timers::kNone;
                 loop_.want(fd_, POLLIN);
             });
         return;
@@ -323,9 +323,9 @@
 // can't come, with descriptors left. Beyond some, the longest idle are ended: those that ask again are seldom
 // idle.
 void Clients::trim() {
-    if (trim_ != Due::kNone || spare_ <= owner_.idle_most()) return;
-    trim_ = loop_.due.at(clock_now() + kSettled, [this] {
-        trim_ = Due::kNone;
+    if (trim_ != Timers::kNone || spare_ <= owner_.idle_most()) return;
+    trim_ = loop_.timers.at(clock_now() + kSettled, [this] {
+        trim_ = Timers::kNone;
         while (spare_ > owner_.idle_most() && shed_one(kSettled, Use::spare)) continue;
         trim();
     });
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -70,7 +70,7 @@
     std::size_t parts_ = 0;                    // bytes held of statements that are not yet whole
     int fd_ = -1;
     bool letting_go_ = false;
-    Due::Key again_ = Due::kNone, trim_ = Due::kNone;
+    Timers::Id again_ = Timers::kNone, trim_ = Timers::kNone;
 };
 
 }  // namespace tideline::net
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -84,7 +84,7 @@
 }
 
 void Link::close() {
-    loop_.due.cancel(told_);
+    loop_.timers.cancel(told_);
     if (fd_ < 0) return;
     loop_.forget(fd_);
     ::close(fd_);
@@ -95,9 +95,9 @@
 void Link::broke() {
     over_ = true;
     if (fd_ >= 0) loop_.want(fd_, 0);
-    if (told_ != Due::kNone) return;
-    told_ = loop_.due.soon([this] {
-        told_ = Due::kNone;
+    if (told_ != Timers::kNone) return;
+    told_ = loop_.timers.soon([this] {
+        told_ = Timers::kNone;
         close();
         ended();
     });
--- a/src/net/link.hpp
+++ b/src/net/link.hpp
@@ -59,7 +59,7 @@
     void set_wants();
     int fd_ = -1;
     bool connecting_ = false, finished_ = false, over_ = false, deaf_ = false;
-    Due::Key told_ = Due::kNone;
+    Timers::Id told_ = Timers::kNone;
 };
 
 }  // namespace tideline::net
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -61,7 +61,7 @@
 
 // Danger: what was lost before the watch stood counts as told; so the watch names the last state known.
 void List::watch(int which) {
-    loop_.due.cancel(again_);
+    loop_.timers.cancel(again_);
     ++calls_;
     called_at_ = clock_now();
     // Danger: a crowded register accepts a call and gives a sign of life before it has worked on it. That
@@ -95,13 +95,13 @@
 }
 void List::lost(int which, const CallLoss& loss) {
     if (which != standing_) {
-        again_ = loop_.due.at(clock_now() + pause_, [this, which] { watch(which); });
+        again_ = loop_.timers.at(clock_now() + pause_, [this, which] { watch(which); });
         pause_ = std::min(kReopenMost, 2 * pause_);
     } else if (watches_[1 - which].open()) {
         standing_ = 1 - which;
         moving_ = false;
     } else {
-        loop_.due.cancel(again_);
+        loop_.timers.cancel(again_);
         moving_ = false;
         const Seconds now = clock_now();
         std::string why = fmt::format("watch: {}; revision {}", loss.why, listing_.revision());
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -32,7 +32,7 @@
         virtual bool takes_revision(std::int64_t revision) = 0;
     };
     List(Loop& loop, Owner& owner, const Terms& terms, Address address, const nlohmann::json& known);
-    ~List() { loop_.due.cancel(again_); }
+    ~List() { loop_.timers.cancel(again_); }
 
     // Tells the copy that was told at start.
     void begin(const nlohmann::json& known) { read(known, true); }
@@ -61,7 +61,7 @@
     Seconds called_at_ = 0;  // the last of them
     const Seconds begun_;
     std::optional<Seconds> heard_at_;  // when the watch last spoke
-    Due::Key again_ = Due::kNone;
+    Timers::Id again_ = Timers::kNone;
 };
 
 }  // namespace tideline::net
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -25,7 +25,7 @@
         return fd_ >= 0;
     }
     void close() {
-        loop_.due.cancel(again_);
+        loop_.timers.cancel(again_);
         if (fd_ >= 0) loop_.forget(fd_), ::close(fd_);
         fd_ = -1;
     }
@@ -43,15 +43,15 @@
     // Danger: with no descriptor left the listener stays ready and the loop would spin.
     void pause() {
         loop_.want(fd_, 0);
-        again_ = loop_.due.at(clock_now() + 50 * kNextPass, [this] {
-            again_ = Due::kNone;
+        again_ = loop_.timers.at(clock_now() + 50 * kNextPass, [this] {
+            again_ = Timers::kNone;
             if (fd_ >= 0) loop_.want(fd_, POLLIN);
         });
     }
     Loop& loop_;
     std::function<void(int)> accepted_;
     int fd_ = -1;
-    Due::Key again_ = Due::kNone;
+    Timers::Id again_ = Timers::kNone;
 };
 
 }  // namespace tideline::net
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -43,7 +43,7 @@
 }
 
 void Loop::pass() {
-    const Seconds begun = clock_now(), wait = due.next() - begun;
+    const Seconds begun = clock_now(), wait = timers.next() - begun;
     const int ms = wait <= 0 ? 0 : static_cast<int>(std::ceil(std::min(wait, 1.0) * 1e3));
     const int count = ::poll(polled_.data(), polled_.size(), ms);  // EINTR: nothing was ready, next pass
     const Seconds polled = clock_now();
@@ -73,7 +73,7 @@
     // meanwhile. Then what is due waits for one more look at the descriptors.
     const Seconds now = clock_now();
     const bool late = now > polled + kStopped || polled > begun + ms * 1e-3 + kStopped;
-    if (!late || looked_again_) due.run(now);
+    if (!late || looked_again_) timers.run(now);
     looked_again_ = late && !looked_again_;
     buried_.clear();
 }
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -7,7 +7,7 @@
 #include <memory>
 #include <vector>
 
-#include "net/due.hpp"
+#include "net/timers.hpp"
 #include "words.hpp"
 
 namespace tideline::net {
@@ -38,7 +38,7 @@
     std::size_t watched() const { return polled_.size(); }
     std::size_t peak() const { return peak_; }
 
-    Due due;
+    Timers timers;
 
   private:
     struct Seat {
--- a/src/net/platform.cpp
+++ b/src/net/platform.cpp
@@ -41,14 +41,14 @@
   public:
     explicit Ballots(Platform& all) : Link(all.loop_), all_(all) { open(all.address_); }
     ~Ballots() override {
-        for (Due::Key& limit : asked_) loop_.due.cancel(limit);
-        loop_.due.cancel(idle_);
+        for (Timers::Id& limit : asked_) loop_.timers.cancel(limit);
+        loop_.timers.cancel(idle_);
     }
     bool leaving = false;
     bool leave() { return leaving = !asked_.empty(); }  // false if nothing is waited for
     void ask(const std::string& body) {
-        loop_.due.cancel(idle_);
-        asked_.push_back(loop_.due.at(clock_now() + all_.vote_wait_, [this] { lost(); }));
+        loop_.timers.cancel(idle_);
+        asked_.push_back(loop_.timers.at(clock_now() + all_.vote_wait_, [this] { lost(); }));
         put(
             fmt::format("POST /api/ballots HTTP/1.1\r\nHost: peer\r\nContent-Type: application/json\r\n"
                         "Content-Length: {}\r\n\r\n{}",
@@ -77,10 +77,10 @@
         const bool counted = reply != kReplies.end() && reply->second == VoteReply::counted;
         if (reply == kReplies.end() || answer.is_discarded() || (counted && !all_.read_state(answer)))
             return lost();  // what can't be read tells nothing
-        loop_.due.cancel(asked_.front());
+        loop_.timers.cancel(asked_.front());
         asked_.pop_front();
         if (asked_.empty())
-            idle_ = loop_.due.at(clock_now() + (leaving ? 0 : kCallIdle), [this] { all_.drop(this); });
+            idle_ = loop_.timers.at(clock_now() + (leaving ? 0 : kCallIdle), [this] { all_.drop(this); });
         if (status_ == 400) all_.owner_.platform_said("vote not understood: " + body_);
         all_.owner_.vote_answered(reply->second);
     }
@@ -90,7 +90,7 @@
     void lost() {
         const bool whole = up() && all_written();
         const std::size_t open = asked_.size();
-        for (Due::Key& limit : asked_) loop_.due.cancel(limit);
+        for (Timers::Id& limit : asked_) loop_.timers.cancel(limit);
         asked_.clear();
         all_.drop(this);
         for (std::size_t i = 1; i <= open; ++i)
@@ -98,10 +98,10 @@
     }
     Platform& all_;
     HttpReader reader_;
-    std::deque<Due::Key> asked_;  // when each has waited for long enough
+    std::deque<Timers::Id> asked_;  // when each has waited for long enough
     int status_ = 0;
     std::string body_;
-    Due::Key idle_ = Due::kNone;
+    Timers::Id idle_ = Timers::kNone;
 };
 
 Platform::Platform(Loop& loop, Owner& owner, Address address, Seconds vote_wait, std::uint64_t seed)
@@ -112,7 +112,7 @@
       chance_(static_cast<std::uint32_t>(seed >> 8 ^ seed >> 40)),
       feeds_{Call(loop, address), Call(loop, address)} {}
 Platform::~Platform() {
-    loop_.due.cancel(tend_);
+    loop_.timers.cancel(tend_);
     for (auto& each : ballots_) each->close();
 }
 
@@ -145,9 +145,9 @@
 }
 
 void Platform::tend_after(Seconds span) {
-    loop_.due.cancel(tend_);
-    tend_ = loop_.due.at(clock_now() + span, [this] {
-        tend_ = Due::kNone;
+    loop_.timers.cancel(tend_);
+    tend_ = loop_.timers.at(clock_now() + span, [this] {
+        tend_ = Timers::kNone;
         tend_feed();
     });
 }
--- a/src/net/platform.hpp
+++ b/src/net/platform.hpp
@@ -47,7 +47,7 @@
     int standing_ = 0;
     bool moved_ = false;  // the one that stands is at the old address
     Seconds heard_ = 0, pause_ = kReopenFirst;
-    Due::Key tend_ = Due::kNone;
+    Timers::Id tend_ = Timers::kNone;
     std::vector<std::unique_ptr<Ballots>>
         ballots_;  // the last one takes votes, the rest still wait for answers
 };
--- a/src/net/pods.cpp
+++ b/src/net/pods.cpp
@@ -11,14 +11,14 @@
   public:
     Connection(Pods& all, PodId at, int at_times)
         : Link(all.loop_), pod(std::move(at)), times(at_times), all_(all) {}
-    ~Connection() override { loop_.due.cancel(until); }
+    ~Connection() override { loop_.timers.cancel(until); }
     const PodId pod;
     const int times;  // of its place when it was opened
     std::uint64_t no = 0;
     std::uint64_t errand = 0;  // 0: none
     bool opening = true;       // counted in its place
     bool resting = false;      // so too
-    Due::Key until = Due::kNone;
+    Timers::Id until = Timers::kNone;
     Seconds idle_since = 0;
     bool greeted() const { return state_ != State::greeting; }
 
@@ -187,8 +187,8 @@
     // Told from the loop: time is up already, or the pod is not known.
     const bool in_time = stop_at > errand.sent;
     errands_.find(number)->stop = in_time && places_.contains(pod)
-                                      ? loop_.due.at(stop_at, [this, number] { stop(number); })
-                                      : loop_.due.soon([this, number] { end(number, Outcome::moot); });
+                                      ? loop_.timers.at(stop_at, [this, number] { stop(number); })
+                                      : loop_.timers.soon([this, number] { end(number, Outcome::moot); });
     if (in_time && places_.contains(pod)) seek_link(number);
 }
 
@@ -197,8 +197,8 @@
     errand.pod = pod, errand.sent = clock_now(), errand.stop_at = errand.sent + connect_time_;
     const std::uint64_t number = errands_.add(errand);
     const bool known = places_.contains(pod);
-    errands_.find(number)->stop = known ? loop_.due.at(errand.stop_at, [this, number] { stop(number); })
-                                        : loop_.due.soon([this, number] { end(number, Outcome::moot); });
+    errands_.find(number)->stop = known ? loop_.timers.at(errand.stop_at, [this, number] { stop(number); })
+                                        : loop_.timers.soon([this, number] { end(number, Outcome::moot); });
     if (known) seek_link(number);
 }
 
@@ -228,11 +228,11 @@
     link.no = no;
     ++place.opening, ++place.links;
     if (!owner_.room_for_connection()) {
-        link.until = loop_.due.soon([this, no] { link_failed(no, Outcome::unreachable); });
+        link.until = loop_.timers.soon([this, no] { link_failed(no, Outcome::unreachable); });
         return;
     }
     link.until =
-        loop_.due.at(clock_now() + connect_time_, [this, no] { link_failed(no, Outcome::unreachable); });
+        loop_.timers.at(clock_now() + connect_time_, [this, no] { link_failed(no, Outcome::unreachable); });
     link.open(place.address);
 }
 
@@ -240,7 +240,7 @@
     Errand& errand = *errands_.find(number);
     Connection& link = **links_.find(no);
     errand.link = no;
-    loop_.due.cancel(link.until);
+    loop_.timers.cancel(link.until);
     link.ask(number, errand.inv ? owner_.statement_for(*errand.inv, errand.stop_at) : "SELECT 1");
 }
 
@@ -248,7 +248,7 @@
     Errand* found = errands_.find(number);
     if (!must(found, "what ends was begun")) return;
     Errand errand = *found;
-    loop_.due.cancel(errand.stop);
+    loop_.timers.cancel(errand.stop);
     errands_.remove(number);
     const Seconds took = clock_now() - errand.sent;
     if (errand.inv)
@@ -261,7 +261,7 @@
 void Pods::stop(std::uint64_t number) {
     Errand* errand = errands_.find(number);
     if (!errand) return;
-    errand->stop = Due::kNone;
+    errand->stop = Timers::kNone;
     const std::uint64_t no = errand->link;
     bool written = no != 0;
     if (written) {
@@ -282,7 +282,7 @@
     if ((*link)->opening) --place.opening;
     if ((*link)->resting) --place.resting;
     --place.links;
-    loop_.due.cancel((*link)->until);
+    loop_.timers.cancel((*link)->until);
     (*link)->close();
     loop_.bury(std::move(*link));
     links_.remove(no);
@@ -294,7 +294,7 @@
     std::erase_if(place.waiting, [&](std::uint64_t number) {
         const Errand& errand = *errands_.find(number);
         if (errand.inv ? owner_.still_good(*errand.inv, errand.no) : place.listed) return false;
-        loop_.due.soon([this, number] {
+        loop_.timers.soon([this, number] {
             if (errands_.find(number)) end(number, Outcome::moot);
         });
         return true;
@@ -311,10 +311,10 @@
 void Pods::link_free(std::uint64_t no) {
     Connection& link = **links_.find(no);
     Place& place = places_[link.pod];
-    loop_.due.cancel(link.until);
+    loop_.timers.cancel(link.until);
     if (!link.opening) {
         link.resting = true, ++place.resting;
-        link.until = loop_.due.at(clock_now() + kAnswerRest, [this, no] { link_ready(no); });
+        link.until = loop_.timers.at(clock_now() + kAnswerRest, [this, no] { link_ready(no); });
         return;
     }
     link.opening = false, --place.opening;  // it has just come up
@@ -328,7 +328,7 @@
     Place& place = places_[pod];
     if (link.resting) --place.resting;
     link.resting = false;
-    loop_.due.cancel(link.until);
+    loop_.timers.cancel(link.until);
     recall(place);
     if (link.times != place.times || !place.listed || !link.clean()) {
         drop_link(no);
@@ -342,7 +342,7 @@
     }
     link.idle_since = clock_now();
     place.idle.push_back(no);
-    link.until = loop_.due.at(link.idle_since + keep_idle_, [this, no] { drop_link(no); });
+    link.until = loop_.timers.at(link.idle_since + keep_idle_, [this, no] { drop_link(no); });
 }
 
 void Pods::link_failed(std::uint64_t no, Outcome outcome) {
--- a/src/net/pods.hpp
+++ b/src/net/pods.hpp
@@ -46,7 +46,7 @@
         PodId pod;
         Seconds sent = 0, stop_at = 0;
         std::uint64_t link = 0;  // 0: it waits for one
-        Due::Key stop = Due::kNone;
+        Timers::Id stop = Timers::kNone;
     };
     struct Place {
         Address address;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -79,12 +79,12 @@
     if (!clients_.listen(config.listen))
         throw std::runtime_error("can't listen: " + std::string(std::strerror(errno)));
     log_.line("{} listens; {} descriptors", config.name, sockets_);
-    ready_timer_ = loop_.due.at(ready_by_, [this] { clients_.wake(); });
+    ready_timer_ = loop_.timers.at(ready_by_, [this] { clients_.wake(); });
     report_later();
 }
 Sidecar::~Sidecar() {
-    loop_.due.cancel(report_);
-    loop_.due.cancel(ready_timer_);
+    loop_.timers.cancel(report_);
+    loop_.timers.cancel(ready_timer_);
 }
 
 // --- What the module decides
@@ -127,7 +127,7 @@
     if (onlooker_) onlooker_->marked();
 }
 void Sidecar::alarm(Seconds after, AlarmId alarm) {
-    loop_.due.at(clock_now() + after, [this, alarm] { choice_->alarm_rang(clock_now(), alarm); });
+    loop_.timers.at(clock_now() + after, [this, alarm] { choice_->alarm_rang(clock_now(), alarm); });
 }
 
 // --- Clients
@@ -343,7 +343,7 @@
     if (!letting_go_) let_go_since_ = clock_now();
     letting_go_ = true;
     clients_.let_go(clock_now() > let_go_since_ + kStalled);
-    loop_.due.at(clock_now() + kLinger / 10, [this] { let_go(); });
+    loop_.timers.at(clock_now() + kLinger / 10, [this] { let_go(); });
 }
 void Sidecar::take_up(const SidecarConfig& fresh, Seconds since) {
     list_.move(fresh.list, since);
@@ -355,7 +355,7 @@
                   fresh.listen != listens_ ? " listen" : "", fresh.terms != terms_ ? " settings" : "");
 }
 void Sidecar::report_later() {
-    report_ = loop_.due.at(clock_now() + kReportEvery, [this] {
+    report_ = loop_.timers.at(clock_now() + kReportEvery, [this] {
         report();
         report_later();
     });
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -140,7 +140,7 @@
     Seconds let_go_since_ = 0;
     bool confirmed_ = false;  // the list, since the start
     const Seconds ready_by_;
-    Due::Key report_ = Due::kNone, ready_timer_ = Due::kNone;
+    Timers::Id report_ = Timers::kNone, ready_timer_ = Timers::kNone;
     std::map<Outcome, long> outcomes_;
     long taken_ = 0, throttled_ = 0, terminated_ = 0, late_ = 0, went_ = 0, recalled_ = 0, lists_ = 0,
          lost_ = 0;
--- a/src/net/due.hpp
+++ b/src/net/timers.hpp
@@ -1,4 +1,4 @@
-// The one ordered structure in which all deadlines hang, and what is put off to the end of the pass.
+// The timers of the loop, in one ordered structure, and the calls that are put off to the end of the pass.
 #pragma once
 
 #include <cstdint>
@@ -11,21 +11,21 @@
 
 namespace tideline::net {
 
-class Due {
+class Timers {
   public:
-    using Key = std::pair<Seconds, std::uint64_t>;  // when, and the order of asking
-    static constexpr Key kNone{-1, 0};
+    using Id = std::pair<Seconds, std::uint64_t>;  // when, and the order of asking
+    static constexpr Id kNone{-1, 0};
 
-    Key at(Seconds when, std::function<void()> call) {
-        const Key key{when, ++asked_};
-        calls_.emplace(key, std::move(call));
-        return key;
+    Id at(Seconds when, std::function<void()> call) {
+        const Id id{when, ++asked_};
+        calls_.emplace(id, std::move(call));
+        return id;
     }
     // In this pass, after all that has arrived was read.
-    Key soon(std::function<void()> call) { return at(0, std::move(call)); }
-    void cancel(Key& key) {
-        calls_.erase(key);
-        key = kNone;
+    Id soon(std::function<void()> call) { return at(0, std::move(call)); }
+    void cancel(Id& id) {
+        calls_.erase(id);
+        id = kNone;
     }
     Seconds next() const {
         return calls_.empty() ? std::numeric_limits<double>::infinity() : calls_.begin()->first.first;
@@ -38,7 +38,7 @@
     }
 
   private:
-    std::map<Key, std::function<void()>> calls_;
+    std::map<Id, std::function<void()>> calls_;
     std::uint64_t asked_ = 0;
 };
 
--- a/src/planner/inquiry.cpp
+++ b/src/planner/inquiry.cpp
@@ -22,9 +22,9 @@
     : Words(loop, address, watching()), told_(std::move(told)) {
     again();
 }
-Watch::~Watch() { loop_.due.cancel(again_); }
+Watch::~Watch() { loop_.timers.cancel(again_); }
 void Watch::again() {
-    again_ = loop_.due.at(net::clock_now() + kWatchEvery, [this] {
+    again_ = loop_.timers.at(net::clock_now() + kWatchEvery, [this] {
         say(watching());
         again();
     });
--- a/src/planner/inquiry.hpp
+++ b/src/planner/inquiry.hpp
@@ -18,7 +18,7 @@
     bool took(const wire::Word& word) override;
     void again();
     std::function<void(const wire::Holds&)> told_;
-    net::Due::Key again_ = net::Due::kNone;
+    net::Timers::Id again_ = net::Timers::kNone;
 };
 
 // One question and its answer.
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -53,7 +53,7 @@
     if (!founds) rise(vault_.kept());
 }
 Planner::~Planner() {
-    for (auto* key : {&ring_, &write_, &pass_, &knock_}) loop_.due.cancel(*key);
+    for (auto* key : {&ring_, &write_, &pass_, &knock_}) loop_.timers.cancel(*key);
 }
 void Planner::rise(consensus::Kept kept) {
     const OfficeTerms terms{binder_.log, binder_.leases, binder_.keep};
@@ -68,7 +68,7 @@
               : cluster_.value > 0
                   ? fmt::format("cluster {:016x}, {} records", cluster_.value, office_->log().last().value)
                   : "without a cluster: knocks at the others");
-    if (founds_) loop_.due.at(net::clock_now() + kFoundAfter, [this] { found(); });
+    if (founds_) loop_.timers.at(net::clock_now() + kFoundAfter, [this] { found(); });
     knock();
     ring();
 }
@@ -127,7 +127,7 @@
     std::erase_if(routes_, [&](auto& each) { return now > each.second.at + kRouteFor; });
     std::erase_if(watchers_, [&](auto& each) { return now > each.second || !parley_.open(each.first); });
     std::erase_if(knockers_, [&](auto& each) { return now > each.second.heard + kKnockerFor; });
-    knock_ = loop_.due.at(net::clock_now() + kKnockEvery, [this] { knock(); });
+    knock_ = loop_.timers.at(net::clock_now() + kKnockEvery, [this] { knock(); });
 }
 void Planner::knocked(const Name& name, const std::string& address, Peer peer, Seconds now) {
     if (!office_ || !office_->serves() || office_->log().council().contains(peer)) return;
@@ -217,10 +217,10 @@
     to_store_.push_back(what);
     store_no_ = no;
     // All that one pass brings goes to the disk at once.
-    if (write_ == net::Due::kNone) write_ = loop_.due.soon([this] { write(); });
+    if (write_ == net::Timers::kNone) write_ = loop_.timers.soon([this] { write(); });
 }
 void Planner::write() {
-    write_ = net::Due::kNone;
+    write_ = net::Timers::kNone;
     if (!broken_.empty()) return;
     try {
         vault_.store(std::exchange(to_store_, {}));
@@ -276,7 +276,7 @@
 void Planner::holder_changed(const LeaseName& lease) {
     // Told from the loop: in the office's call it may be in the middle of a record.
     if (watchers_.empty()) return;
-    loop_.due.soon([this, lease] {
+    loop_.timers.soon([this, lease] {
         for (const auto& [link, until] : watchers_) tell_holder(link, lease);
     });
 }
@@ -418,17 +418,17 @@
 
 void Planner::ring() {
     if (!office_ || !broken_.empty()) return;
-    if (office_->wants_pass() && pass_ == net::Due::kNone)
-        pass_ = loop_.due.soon([this] {
-            pass_ = net::Due::kNone;
+    if (office_->wants_pass() && pass_ == net::Timers::kNone)
+        pass_ = loop_.timers.soon([this] {
+            pass_ = net::Timers::kNone;
             office_->pass_ended(lasting_now());
             ring();
         });
-    loop_.due.cancel(ring_);
+    loop_.timers.cancel(ring_);
     const Seconds at = office_->due();
     if (at == std::numeric_limits<double>::infinity()) return;
-    ring_ = loop_.due.at(net::clock_now() + std::max(0.0, at - lasting_now()), [this] {
-        ring_ = net::Due::kNone;
+    ring_ = loop_.timers.at(net::clock_now() + std::max(0.0, at - lasting_now()), [this] {
+        ring_ = net::Timers::kNone;
         office_->unix_time_is(unix_now() - lasting_now());
         office_->tick(lasting_now());
         ring();
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -91,8 +91,8 @@
     std::set<std::string> told_;                 // faults that were logged once
     std::uint64_t last_ask_ = 0;
     std::string broken_;
-    net::Due::Key ring_ = net::Due::kNone, write_ = net::Due::kNone, pass_ = net::Due::kNone,
-                  knock_ = net::Due::kNone;
+    net::Timers::Id ring_ = net::Timers::kNone, write_ = net::Timers::kNone, pass_ = net::Timers::kNone,
+                    knock_ = net::Timers::kNone;
     const bool founds_;
 };
 
--- a/tests/parsers.cpp
+++ b/tests/parsers.cpp
@@ -4,7 +4,6 @@
 #include <random>
 
 #include "helpers.hpp"
-#include "net/due.hpp"
 #include "net/http.hpp"
 #include "net/limits.hpp"
 #include "net/link.hpp"
@@ -12,6 +11,7 @@
 #include "net/pg.hpp"
 #include "net/ring.hpp"
 #include "net/slots.hpp"
+#include "net/timers.hpp"
 
 namespace tideline::net {
 namespace {
@@ -206,15 +206,15 @@
 }
 
 TEST_CASE("deadlines run in their order; one taken back does not run") {
-    Due due;
+    Timers timers;
     std::string ran;
-    due.at(2, [&] { ran += "2"; });
-    auto key = due.at(1, [&] { ran += "x"; });
-    due.at(1, [&] { ran += "1", due.soon([&] { ran += "soon"; }); });
-    due.cancel(key);
-    due.run(1.5);
+    timers.at(2, [&] { ran += "2"; });
+    auto key = timers.at(1, [&] { ran += "x"; });
+    timers.at(1, [&] { ran += "1", timers.soon([&] { ran += "soon"; }); });
+    timers.cancel(key);
+    timers.run(1.5);
     CHECK(ran == "1soon");
-    CHECK(due.next() == 2);
+    CHECK(timers.next() == 2);
 }
 
 TEST_CASE("addresses are host and port in digits") {
--- a/tools/rig/copies_cost.cpp
+++ b/tools/rig/copies_cost.cpp
@@ -81,7 +81,7 @@
                    [this, &caller, at](Came came, const std::string&) {
                        succeeded += came == Came::succeeded;
                        if (came == Came::succeeded) took.all.push_back(net::clock_now() - at);
-                       play_.loop.due.soon([this, &caller] {
+                       play_.loop.timers.soon([this, &caller] {
                            if (caller.idle()) next(caller);
                        });
                    });
--- a/tools/rig/grants.cpp
+++ b/tools/rig/grants.cpp
@@ -54,8 +54,8 @@
                     break;
                 default:  // its give-back is still on its way through the log, or there is no leader
                     ++turned_away;
-                    loop_.due.at(net::clock_now() + 0.002,
-                                 [this, which] { ask(which, wire::LeaseAsk::TAKE, 0); });
+                    loop_.timers.at(net::clock_now() + 0.002,
+                                    [this, which] { ask(which, wire::LeaseAsk::TAKE, 0); });
             }
         }
     }
--- a/tools/rig/holder.cpp
+++ b/tools/rig/holder.cpp
@@ -55,7 +55,7 @@
     void give_back() { tenant_.give_back_all(); }
     void give_back_for_a_while() {
         tenant_.give_back_all();
-        loop_.due.at(net::clock_now() + kWantAgain, [this] { tenant_.want(kTask); });
+        loop_.timers.at(net::clock_now() + kWantAgain, [this] { tenant_.want(kTask); });
     }
 
   private:
@@ -75,7 +75,7 @@
             if (!mark_.empty() && std::filesystem::remove(mark_)) std::raise(SIGSTOP);
             target_.say(fmt::format("{} {} {:.6f} {:.6f}\n", name_, fence->value, before, after));
         }
-        loop_.due.at(net::clock_now() + kActEvery, [this] { act(); });
+        loop_.timers.at(net::clock_now() + kActEvery, [this] { act(); });
     }
     net::Loop& loop_;
     const std::string name_, mark_;
@@ -109,7 +109,7 @@
     }
     holder.give_back();
     bool over = false;
-    loop.due.at(net::clock_now() + 0.2, [&] { over = true; });
+    loop.timers.at(net::clock_now() + 0.2, [&] { over = true; });
     while (!over) loop.pass();
     log.flush();
     return 0;
--- a/tools/rig/relay.cpp
+++ b/tools/rig/relay.cpp
@@ -36,7 +36,7 @@
     int from = 0, to = 0;
     std::unique_ptr<End> near, far;
     std::deque<Held> forth, back;
-    net::Due::Key next_forth = net::Due::kNone, next_back = net::Due::kNone;
+    net::Timers::Id next_forth = net::Timers::kNone, next_back = net::Timers::kNone;
 };
 
 Relay::Relay(net::Loop& loop, int members, int first) : loop_(loop) {
@@ -48,7 +48,7 @@
 }
 Relay::~Relay() {
     for (auto& [key, splice] : splices_)
-        loop_.due.cancel(splice->next_forth), loop_.due.cancel(splice->next_back);
+        loop_.timers.cancel(splice->next_forth), loop_.timers.cancel(splice->next_back);
 }
 
 void Relay::took(int to, int fd) {
@@ -79,10 +79,10 @@
         to.put(held.front().bytes);
         held.pop_front();
     }
-    net::Due::Key& next = forth ? splice.next_forth : splice.next_back;
-    if (held.empty() || next != net::Due::kNone) return;
-    next = loop_.due.at(held.front().due, [this, &splice, &next, forth] {
-        next = net::Due::kNone;
+    net::Timers::Id& next = forth ? splice.next_forth : splice.next_back;
+    if (held.empty() || next != net::Timers::kNone) return;
+    next = loop_.timers.at(held.front().due, [this, &splice, &next, forth] {
+        next = net::Timers::kNone;
         pass_on(splice, forth);
     });
 }
@@ -101,8 +101,8 @@
 void Relay::drop(Splice* splice) {
     const auto it = splices_.find(splice);
     if (it == splices_.end()) return;
-    loop_.due.cancel(splice->next_forth);
-    loop_.due.cancel(splice->next_back);
+    loop_.timers.cancel(splice->next_forth);
+    loop_.timers.cancel(splice->next_back);
     for (auto* end : {&splice->near, &splice->far})
         if (*end) (*end)->close(), loop_.bury(std::move(*end));
     splices_.erase(it);
--- a/tools/rig/world.cpp
+++ b/tools/rig/world.cpp
@@ -56,7 +56,7 @@
     }
 }
 World::~World() {
-    loop.due.cancel(watch_);
+    loop.timers.cancel(watch_);
     for (auto& member : members) member.process.reset();
     if (!wish.keep) std::filesystem::remove_all(folder);
 }
@@ -249,12 +249,12 @@
     auto& question = asking_[by];
     question = std::make_unique<fleet::Question>(loop, at_port(by, kFleetPort, kListenNet), true);
     fleet::Question* its = question.get();
-    loop.due.at(from + 0.05, [this, by, its, from] {
+    loop.timers.at(from + 0.05, [this, by, its, from] {
         const auto again = [this, by, its, from](auto self) -> void {
             const auto it = asking_.find(by);
             if (it == asking_.end() || it->second.get() != its) return;
             if (!its->over && net::clock_now() < from + kAnswerWithin) {
-                loop.due.at(net::clock_now() + 0.02, [self] { self(self); });
+                loop.timers.at(net::clock_now() + 0.02, [self] { self(self); });
                 return;
             }
             Seen one{from, net::clock_now(), by, its->whole, {}};
@@ -279,7 +279,7 @@
         ask(turn_);
         break;
     }
-    watch_ = loop.due.at(net::clock_now() + kWatchEvery, [this] { watch(); });
+    watch_ = loop.timers.at(net::clock_now() + kWatchEvery, [this] { watch(); });
 }
 bool World::all_current(const Seen& one) const {
     int current = 0;
--- a/tools/rig/world.hpp
+++ b/tools/rig/world.hpp
@@ -107,7 +107,7 @@
     void heal(int from, int to);
     void add_pod(int build);
     void ask(int by);
-    net::Due::Key watch_ = net::Due::kNone;
+    net::Timers::Id watch_ = net::Timers::kNone;
     std::map<int, std::unique_ptr<fleet::Question>> asking_;
     std::vector<std::string> ready_;  // ids of pods that are listed as ready
     int turn_ = 0;
--- a/tools/stand/client.cpp
+++ b/tools/stand/client.cpp
@@ -13,15 +13,15 @@
     rate_ = rate;
     next();
 }
-void ClientStand::stop() { loop_.due.cancel(next_); }
+void ClientStand::stop() { loop_.timers.cancel(next_); }
 std::size_t ClientStand::open() const {
     return static_cast<std::size_t>(
         std::count_if(asked.begin(), asked.end(), [](auto& each) { return each.answers == 0; }));
 }
 void ClientStand::next() {
     const double unit = (1.0 + static_cast<double>(chance_())) / (2.0 + static_cast<double>(chance_.max()));
-    next_ = loop_.due.at(net::clock_now() - std::log(unit) / rate_, [this] {
-        next_ = net::Due::kNone;
+    next_ = loop_.timers.at(net::clock_now() - std::log(unit) / rate_, [this] {
+        next_ = net::Timers::kNone;
         send();
         next();
     });
--- a/tools/stand/client.hpp
+++ b/tools/stand/client.hpp
@@ -37,7 +37,7 @@
     std::ranlux24_base chance_;
     std::vector<std::unique_ptr<Caller>> links_;
     double rate_ = 0;
-    net::Due::Key next_ = net::Due::kNone;
+    net::Timers::Id next_ = net::Timers::kNone;
 };
 
 }  // namespace tideline::stand
--- a/tools/stand/list.cpp
+++ b/tools/stand/list.cpp
@@ -29,7 +29,7 @@
 };
 
 ListStand::ListStand(net::Loop& loop) : loop_(loop) { beat(); }
-ListStand::~ListStand() { loop_.due.cancel(beat_); }
+ListStand::~ListStand() { loop_.timers.cancel(beat_); }
 
 int ListStand::open_door(const net::Address& address) {
     doors_.push_back(std::make_unique<Door>(loop_, *this));
@@ -82,7 +82,7 @@
         door->server.each([](auto& peer) {
             if (peer.streams) peer.line("");
         });
-    beat_ = loop_.due.at(net::clock_now() + 2, [this] { beat(); });
+    beat_ = loop_.timers.at(net::clock_now() + 2, [this] { beat(); });
 }
 
 }  // namespace tideline::stand
--- a/tools/stand/list.hpp
+++ b/tools/stand/list.hpp
@@ -35,7 +35,7 @@
     std::map<std::string, nlohmann::json> members_;
     std::vector<std::pair<std::int64_t, nlohmann::json>> told_;  // changes, each with its revision
     std::int64_t revision_ = 1;
-    net::Due::Key beat_ = net::Due::kNone;
+    net::Timers::Id beat_ = net::Timers::kNone;
 };
 
 }  // namespace tideline::stand
--- a/tools/stand/platform.cpp
+++ b/tools/stand/platform.cpp
@@ -32,7 +32,7 @@
 };
 
 PlatformStand::PlatformStand(net::Loop& loop) : loop_(loop), since_(net::clock_now()) { beat(); }
-PlatformStand::~PlatformStand() { loop_.due.cancel(beat_); }
+PlatformStand::~PlatformStand() { loop_.timers.cancel(beat_); }
 
 int PlatformStand::open_door(const net::Address& address) {
     const int number = static_cast<int>(doors_.size());
@@ -91,7 +91,7 @@
         door->server.each([](auto& peer) {
             if (peer.streams) peer.line("{}");
         });
-    beat_ = loop_.due.at(net::clock_now() + 0.5, [this] { beat(); });
+    beat_ = loop_.timers.at(net::clock_now() + 0.5, [this] { beat(); });
 }
 
 }  // namespace tideline::stand
--- a/tools/stand/platform.hpp
+++ b/tools/stand/platform.hpp
@@ -49,7 +49,7 @@
     double cap_ = 1;
     Seconds since_ = 0;
     std::map<int, std::string> standing_;  // by door, for this stage
-    net::Due::Key beat_ = net::Due::kNone;
+    net::Timers::Id beat_ = net::Timers::kNone;
 };
 
 }  // namespace tideline::stand
--- a/tools/stand/pod.cpp
+++ b/tools/stand/pod.cpp
@@ -9,7 +9,7 @@
 class PodStand::Connection : public net::Link {
   public:
     Connection(net::Loop& loop, PodStand& pod, int no) : Link(loop), pod_(pod), no_(no) {}
-    ~Connection() override { loop_.due.cancel(answer_); }
+    ~Connection() override { loop_.timers.cancel(answer_); }
 
   protected:
     void came_in() override {
@@ -30,7 +30,7 @@
             return true;
         }
         char type = 0;
-        if (answer_ != net::Due::kNone ||
+        if (answer_ != net::Timers::kNone ||
             pg::next(in_.all(), net::kMessageMost, type, body, whole) != pg::Read::whole)
             return false;
         if (type == 'Q') run(body);
@@ -54,12 +54,12 @@
         const bool fails = pod_.draw() < pod_.failing;
         if (pod_.effects && !pod_.ran.back().key.empty())
             pod_.effects->ran(pod_.ran.back().op, pod_.ran.back().key, net::clock_now());
-        answer_ = loop_.due.at(net::clock_now() + pod_.least + (pod_.most - pod_.least) * pod_.draw(),
-                               [this, value, fails] {
-                                   answer_ = net::Due::kNone;
-                                   put(fails ? pg::error("ERROR", "XX000", "no") + pg::ready() : row(value));
-                                   if (!closed()) look_again();
-                               });
+        answer_ = loop_.timers.at(
+            net::clock_now() + pod_.least + (pod_.most - pod_.least) * pod_.draw(), [this, value, fails] {
+                answer_ = net::Timers::kNone;
+                put(fails ? pg::error("ERROR", "XX000", "no") + pg::ready() : row(value));
+                if (!closed()) look_again();
+            });
     }
     static std::string row(const std::string& value) {
         std::string size = {'\0', '\1'};
@@ -71,7 +71,7 @@
     PodStand& pod_;
     const int no_;
     bool greeted_ = false;
-    net::Due::Key answer_ = net::Due::kNone;
+    net::Timers::Id answer_ = net::Timers::kNone;
 };
 
 void Effects::ran(const std::string& op, const std::string& key, Seconds now) {
--- a/tools/stand/repeater.cpp
+++ b/tools/stand/repeater.cpp
@@ -16,7 +16,7 @@
       name_(fmt::format("r{}", seed)) {}
 RepeatStand::~RepeatStand() {
     *here_ = false;
-    loop_.due.cancel(next_);
+    loop_.timers.cancel(next_);
 }
 double RepeatStand::draw(double from, double to) {
     return from + (to - from) * static_cast<double>(chance_()) / (1.0 + static_cast<double>(chance_.max()));
@@ -27,11 +27,11 @@
 }
 void RepeatStand::stop() {
     stopped_ = true;
-    loop_.due.cancel(next_);
+    loop_.timers.cancel(next_);
 }
 void RepeatStand::next() {
-    next_ = loop_.due.at(net::clock_now() - std::log(draw(1e-9, 1)) / rate_, [this] {
-        next_ = net::Due::kNone;
+    next_ = loop_.timers.at(net::clock_now() - std::log(draw(1e-9, 1)) / rate_, [this] {
+        next_ = net::Timers::kNone;
         want(operations_[static_cast<std::size_t>(draw(0, static_cast<double>(operations_.size())))],
              static_cast<int>(draw(0, static_cast<double>(sidecars_.size()))));
         next();
@@ -86,7 +86,7 @@
               });
     // No answer within the time limit: its client asks elsewhere.
     const auto here = here_;
-    loop_.due.at(net::clock_now() + limit + 0.2, [this, here, which, no] {
+    loop_.timers.at(net::clock_now() + limit + 0.2, [this, here, which, no] {
         if (*here && wanted[which].attempts[no].answers == 0) later(which, 0);
     });
 }
@@ -96,7 +96,7 @@
         return;
     }
     const auto here = here_;
-    loop_.due.at(net::clock_now() + after, [this, here, which] {
+    loop_.timers.at(net::clock_now() + after, [this, here, which] {
         if (!*here || stopped_ || wanted[which].over) return;
         again(which, static_cast<int>(draw(0, static_cast<double>(sidecars_.size()))));
     });
--- a/tools/stand/repeater.hpp
+++ b/tools/stand/repeater.hpp
@@ -57,7 +57,7 @@
     std::vector<bool> repeats_;
     double rate_ = 0;
     bool stopped_ = false;
-    net::Due::Key next_ = net::Due::kNone;
+    net::Timers::Id next_ = net::Timers::kNone;
     // What is put off is dropped with this stand-in.
     std::shared_ptr<bool> here_ = std::make_shared<bool>(true);
 };
--- a/tools/stand/until.hpp
+++ b/tools/stand/until.hpp
@@ -16,10 +16,10 @@
         if (holds()) return true;
         if (net::clock_now() >= until) return false;
         bool woken = false;
-        net::Due::Key wake =
-            loop.due.at(std::min(until, net::clock_now() + kLookEvery), [&] { woken = true; });
+        net::Timers::Id wake =
+            loop.timers.at(std::min(until, net::clock_now() + kLookEvery), [&] { woken = true; });
         while (!woken && !holds()) loop.pass();
-        if (!woken) loop.due.cancel(wake);
+        if (!woken) loop.timers.cancel(wake);
     }
 }
 
--- a/tools/try/main.cpp
+++ b/tools/try/main.cpp
@@ -49,7 +49,7 @@
 
 void pass_for(net::Loop& loop, Seconds span) {
     bool on = true;
-    loop.due.at(net::clock_now() + span, [&on] { on = false; });
+    loop.timers.at(net::clock_now() + span, [&on] { on = false; });
     while (on) loop.pass();
 }
 int ask(const Wish& wish, const std::string& what) {
@@ -192,7 +192,7 @@
     }
     const auto pass_until = [&](Seconds until) {
         bool on = true;
-        loop.due.at(until, [&on] { on = false; });
+        loop.timers.at(until, [&on] { on = false; });
         while (on) loop.pass();
     };
     pass_until(net::clock_now() + 0.5);
