--- a/tests/socket_rig.hpp
+++ b/tests/socket_rig.hpp
@@ -277,6 +277,18 @@
         REQUIRE(feed.upto("\r\n\r\n").find("GET /api/feed") == 0);
         feed.send(kStream + chunk("{}\n"));
     }
+    // The next watch that comes to a stand-in for the register, accepted.
+    Peer accepted_watch(Stand& from) {
+        Peer peer = from.take();
+        peer.upto("\r\n\r\n");
+        peer.send(kStream);
+        return peer;
+    }
+    // Has the list told there from the next SIGHUP on.
+    void configure_list_at(const Stand& there) {
+        told["discovery"] = "127.0.0.1:" + std::to_string(there.port);
+        write();
+    }
     void change(const json& lines, int revision = 43) {
         watch.send(
             chunk(json{{"revision", revision}, {"complete", false}, {"members", lines}}.dump() + "\n"));
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -807,9 +807,8 @@
     Rig rig(1);
     rig.begin();
     Stand list;
-    rig.told["discovery"] = "127.0.0.1:" + std::to_string(list.port);
     rig.told["settings"]["safety"]["drainGraceUs"] = 400000;
-    rig.write();
+    rig.configure_list_at(list);
     rig.signal(SIGHUP);
     Peer first = list.take();
     REQUIRE(first);
--- a/tests/stale_list.cpp
+++ b/tests/stale_list.cpp
@@ -25,6 +25,13 @@
     return client.answer();
 }
 
+// One invocation, refused with a promise of no effect, and no pod hears of it.
+void check_refused_unsent(Rig& rig, Peer& client) {
+    client.send(invocation());
+    CHECK(client.answer(kQuiet) == "!53300");
+    CHECK_FALSE(rig.pod(kQuiet));
+}
+
 }  // namespace
 
 TEST_CASE("a list that can't be confirmed is not acted on once a change would count as told") {
@@ -39,9 +46,7 @@
     CHECK(served_anew(rig, client) == "1");  // nothing counts as told yet
     refuse_calls(rig, lost + kToldWithin + kGrace);
     // The pod that was listed has left meanwhile; what is there now is another.
-    client.send(invocation());
-    CHECK(client.answer(kQuiet) == "!53300");
-    CHECK_FALSE(rig.pod(kQuiet));
+    check_refused_unsent(rig, client);
 }
 
 TEST_CASE("the copy of the list that a process starts with is not acted on before the list is confirmed") {
@@ -57,9 +62,7 @@
     CHECK(client.quiet(0.01));
     refuse_calls(rig, started + kReadyWithin + 0.3);
     CHECK(client.answer() == "empty");  // but answers all the same after a time
-    client.send(invocation());
-    CHECK(client.answer(kQuiet) == "!53300");
-    CHECK_FALSE(rig.pod(kQuiet));
+    check_refused_unsent(rig, client);
     Peer watch = rig.list.take();
     watch.upto("\r\n\r\n");
     watch.send(kStream + chunk("\n"));  // accepted, as a crowded register does before it works on it
@@ -76,12 +79,10 @@
     rig.begin();
     Peer client = rig.client();
     Stand list;
-    rig.told["discovery"] = "127.0.0.1:" + std::to_string(list.port);
-    rig.write();
+    rig.configure_list_at(list);
     rig.signal(SIGHUP);
-    Peer watch = list.take();
-    watch.upto("\r\n\r\n");
-    watch.send(kStream + chunk("\n"));
+    Peer watch = rig.accepted_watch(list);
+    watch.send(chunk("\n"));
     watch.close();
     CHECK_FALSE(rig.watch.ended(0.1));
     json leaving = rig.members;
@@ -151,26 +152,20 @@
     refuse_calls(rig, written + kToldWithin - 1);
     CHECK(served_anew(rig, client) == "1");
     refuse_calls(rig, written + kToldWithin + kGrace);
-    client.send(invocation());
-    CHECK(client.answer(kQuiet) == "!53300");
-    CHECK_FALSE(rig.pod(kQuiet));
+    check_refused_unsent(rig, client);
 }
 
 TEST_CASE("an accepted call that tells nothing confirms the list as it was when the call was accepted") {
     Rig rig(1);
     rig.start();
     Peer client = rig.client();
-    Peer watch = rig.list.take();
-    watch.upto("\r\n\r\n");
-    watch.send(kStream);
+    Peer watch = rig.accepted_watch(rig.list);
     const double accepted = now();
     rest(kHeadSettled + 0.2);
     CHECK(served_anew(rig, client) == "1");
     watch.close();
     refuse_calls(rig, accepted + kToldWithin + kGrace);
-    client.send(invocation());
-    CHECK(client.answer(kQuiet) == "!53300");
-    CHECK_FALSE(rig.pod(kQuiet));
+    check_refused_unsent(rig, client);
 }
 
 TEST_CASE("a change of which only a part comes counts as told") {
@@ -200,16 +195,12 @@
     for (int i = 0; now() < begun + kGrace + 0.5; ++i) {
         odd[0]["phase"] = "Odd-" + std::to_string(i);
         rig.change(odd, 43);
-        rig.watch = rig.list.take();
-        rig.watch.upto("\r\n\r\n");
-        rig.watch.send(kStream);
+        rig.watch = rig.accepted_watch(rig.list);
     }
     odd[0]["phase"] = "Odd";
     rig.change(odd, 43);
     rest(0.05);
-    client.send(invocation());
-    CHECK(client.answer(kQuiet) == "!53300");
-    CHECK_FALSE(rig.pod(kQuiet));
+    check_refused_unsent(rig, client);
 }
 
 TEST_CASE("SIGHUP: where the new register answers nobody, the old one's signs of life confirm nothing") {
@@ -217,8 +208,7 @@
     rig.begin();
     Peer client = rig.client();
     Stand list;
-    rig.told["discovery"] = "127.0.0.1:" + std::to_string(list.port);
-    rig.write();
+    rig.configure_list_at(list);
     rig.watch.send(chunk("\n"));
     rest(0.1);
     rig.signal(SIGHUP);
@@ -230,9 +220,8 @@
     }
     client.send(invocation());
     CHECK(client.answer(kQuiet) == "!53300");
-    Peer watch = list.take();
-    watch.upto("\r\n\r\n");
-    watch.send(kStream + chunk("{\"revision\":41,\"complete\":false,\"members\":[]}\n"));
+    Peer watch = rig.accepted_watch(list);
+    watch.send(chunk("{\"revision\":41,\"complete\":false,\"members\":[]}\n"));
     rest(0.1);
     CHECK(served_anew(rig, client) == "1");
 }
@@ -242,9 +231,8 @@
     rig.begin();
     Peer client = rig.client();
     rig.watch.close();  // the watch that follows is opened after the client's connection
-    rig.watch = rig.list.take();
-    rig.watch.upto("\r\n\r\n");
-    rig.watch.send(kStream + chunk("\n"));
+    rig.watch = rig.accepted_watch(rig.list);
+    rig.watch.send(chunk("\n"));
     rest(0.1);
     rig.signal(SIGSTOP);
     rest(0.1);
