--- a/tests/list_freshness.cpp
+++ b/tests/list_freshness.cpp
@@ -329,6 +329,30 @@
     CHECK(s.host.noted("list holds again"));
 }
 
+TEST_CASE(
+    "a move, or the loss of a pushed list, counts from when it may have come and not from when it is read") {
+    const bool moves = GENERATE(true, false);
+    Terms terms = bounded_terms();
+    if (!moves) terms["list.told"] = std::string("unasked");
+    Sidecar s(terms);
+    s.choice.pods_listed(s.now, ListKind::whole, {pod("a", 1)});
+    s.choice.list_confirmed(s.now, s.now);
+    s.run(0.6);
+    const Seconds since = s.now - 0.5;
+    if (moves)
+        s.choice.list_moved(s.now, since);
+    else
+        s.choice.list_lost(s.now, since, ListLoss::ended);
+    const Seconds told = moves ? since + kAfterMove : since;
+    s.run(told + kGrace - 0.3 - s.now);  // 0.2 of the grace is kept for a hold-up
+    s.take();
+    CHECK(s.host.sent.size() == 1);
+    s.run(0.2);
+    s.take();
+    CHECK(s.host.sent.size() == 1);
+    CHECK(s.host.throttled.size() == 1);
+}
+
 TEST_CASE("what waits, for a pod or for its connection, does not go once the list is past its time") {
     Sidecar s(bounded_terms());
     s.choice.pods_listed(s.now, ListKind::whole, {pod("a", 1)});
