--- a/src/records.hpp
+++ b/src/records.hpp
@@ -43,7 +43,7 @@
     shed,           // a part of what is taken is not sent while answers come late
     over_share,     // its customer sends more than its share while others wait
     no_pod,         // no listed pod may take it
-    list_expired,   // the list is past its time, and no pod is known to be ready otherwise
+    list_expired,   // the list is past its time
     stood_still,    // this sidecar stood still a moment ago and lets nothing wait
     no_hope,        // waiting longer would bring no answer within the objective
     out_of_time,    // its dispatch timed out at its time limit
