--- a/tools/fault_tests/command_line.cpp
+++ b/tools/fault_tests/command_line.cpp
@@ -23,6 +23,8 @@
     app.add_option("--seeds", command_line.seeds, "how many seeds")->capture_default_str();
     app.add_option("--length", command_line.length, "seconds of a random schedule")
         ->capture_default_str();
+    app.add_flag("--list-scenarios", command_line.list_scenarios,
+                 "print the names of the fixed scenarios, a line each, run nothing");
     app.add_flag("--show", command_line.show, "print the random schedule, run nothing");
 }
 
@@ -62,6 +64,9 @@
 bool parse_command_line(int argc, char** argv, CommandLine& command_line, int& exit_status) {
     CLI::App app("Real processes as a fleet, failures between them, a check of the whole record.",
                  "tideline_fault_tests");
+    app.failure_message([](const CLI::App*, const CLI::Error& error) {
+        return std::string("tideline_fault_tests: ") + error.what() + "\n";
+    });
     add_run_options(app, command_line);
     add_lease_options(app, command_line);
     add_replication_options(app, command_line);
--- a/tools/fault_tests/command_line.hpp
+++ b/tools/fault_tests/command_line.hpp
@@ -15,11 +15,12 @@
     PlannerClusterOptions planners;
     ReplicationOptions replication;
 
-    std::string scenario;  // a name, or all; empty: none
-    std::string schedule;  // path of a file of events; empty: none
-    int seeds = 1;         // random schedules, from sidecars.seed on
-    Seconds length = 15;   // of a random schedule
-    bool show = false;     // print random schedules, run nothing
+    std::string scenario;         // a name, or all; empty: none
+    std::string schedule;         // path of a file of events; empty: none
+    int seeds = 1;                // random schedules, from sidecars.seed on
+    Seconds length = 15;          // of a random schedule
+    bool list_scenarios = false;  // print the names of the fixed scenarios, run nothing
+    bool show = false;            // print random schedules, run nothing
 
     bool run_leases = false;       // --leases: planners and lease holders
     bool run_replication = false;  // --copies: sidecars with replicas
--- a/tools/fault_tests/lease_scenarios.cpp
+++ b/tools/fault_tests/lease_scenarios.cpp
@@ -123,6 +123,17 @@
 
 }  // namespace
 
+std::vector<std::string> lease_scenario_names() {
+    std::vector<std::string> names;
+    for (const auto& [name, inject_faults] : kScenarios) {
+        names.push_back(name);
+    }
+    for (const auto& [name, inject_faults] : kFleetScenarios) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 bool run_lease_scenarios(const PlannerClusterOptions& options, const std::string& scenario,
                          int& scenarios_run) {
     bool passed = true;
--- a/tools/fault_tests/lease_scenarios.hpp
+++ b/tools/fault_tests/lease_scenarios.hpp
@@ -9,6 +9,7 @@
 
 namespace tideline::fault_tests {
 
+std::vector<std::string> lease_scenario_names();
 // `scenario`: one of the fixed ones, or all. False where something did not hold; `scenarios_run`
 // counts them.
 bool run_lease_scenarios(const PlannerClusterOptions& options, const std::string& scenario,
--- a/tools/fault_tests/main.cpp
+++ b/tools/fault_tests/main.cpp
@@ -1,6 +1,7 @@
 // The fault tests: real processes of the program as a fleet, failures between them, and a check of
 // the whole record. Loopback only; ends by itself.
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <csignal>
 #include <exception>
@@ -40,6 +41,13 @@
     }
 }
 
+std::vector<std::string> scenario_names(const CommandLine& command_line) {
+    if (command_line.run_replication) {
+        return replication_scenario_names();
+    }
+    return command_line.run_leases ? lease_scenario_names() : sidecar_scenario_names();
+}
+
 // True where the command line asks for a measurement, which is then done.
 bool run_measurement(const CommandLine& command_line) {
     if (command_line.holder_losses > 0) {
@@ -137,6 +145,10 @@
 }
 
 int run(const CommandLine& command_line) {
+    if (command_line.list_scenarios) {
+        fmt::print("{}\n", fmt::join(scenario_names(command_line), "\n"));
+        return kExitPassed;
+    }
     if (run_measurement(command_line)) {
         return kExitPassed;
     }
--- a/tools/fault_tests/replication_scenarios.hpp
+++ b/tools/fault_tests/replication_scenarios.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "fault_tests/planner_cluster.hpp"
 
@@ -15,6 +16,7 @@
     double rate = 20;                  // new requests a second, all sidecars together
     bool without_replication = false;  // to compare: what is lost without it
 };
+std::vector<std::string> replication_scenario_names();
 // `scenario`: one of the fixed ones, or all. False where something did not hold; `scenarios_run`
 // counts them.
 bool run_replication_scenarios(const ReplicationOptions& options, const std::string& scenario,
--- a/tools/fault_tests/sidecar_scenarios.cpp
+++ b/tools/fault_tests/sidecar_scenarios.cpp
@@ -62,6 +62,14 @@
 
 }  // namespace
 
+std::vector<std::string> sidecar_scenario_names() {
+    std::vector<std::string> names;
+    for (const auto& [name, inject_faults] : kScenarios) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 bool run_sidecar_scenarios(const SidecarClusterOptions& options, const std::string& scenario,
                            int& scenarios_run) {
     bool passed = true;
--- a/tools/fault_tests/sidecar_scenarios.hpp
+++ b/tools/fault_tests/sidecar_scenarios.hpp
@@ -9,6 +9,7 @@
 
 namespace tideline::fault_tests {
 
+std::vector<std::string> sidecar_scenario_names();
 // `scenario`: one of the fixed ones, or all. False where something did not hold; `scenarios_run`
 // counts them.
 bool run_sidecar_scenarios(const SidecarClusterOptions& options, const std::string& scenario,
