--- a/src/cluster/replication_agent.hpp
+++ b/src/cluster/replication_agent.hpp
@@ -111,6 +111,10 @@
     // replication::RepairCoordinatorHost
     void propose(const replication::ReplicaTable& table) override;
     void request_reports() override;
+    void on_member_excluded(const replication::Exclusion& exclusion) override {
+        log_.line("member excluded: name={} reason={} complaints={}", exclusion.member.value,
+                  replication::exclusion_reason_name(exclusion.reason), exclusion.complaints);
+    }
     void raise_alarm(const std::string& key, const std::string& text) override {
         owner_.set_replication_alarm(true, key, text);
     }
--- a/src/cluster/replication_agent_sidecar.cpp
+++ b/src/cluster/replication_agent_sidecar.cpp
@@ -3,6 +3,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "cluster/replication_agent.hpp"
@@ -63,6 +64,7 @@
     std::vector<Attempt> attempts;
     const Seconds now = lasting_now();
     const Seconds clock = net::clock_now();
+    Seconds oldest_age = 0;
     for (const replication::AttemptRecord& each : earlier) {
         Attempt one;
         one.endpoint.location = each.location;
@@ -70,8 +72,13 @@
         one.sent = clock - (now - each.sent_at);
         one.ended = true;
         one.may_have_run = true;
+        oldest_age = std::max(oldest_age, now - each.sent_at);
         attempts.push_back(std::move(one));
     }
+    if (!earlier.empty()) {
+        log_.line("request routed again: earlier_attempts={} oldest_age_s={:.1f}", earlier.size(),
+                  oldest_age);
+    }
     loop_.timers.soon([this, request, attempts = std::move(attempts)] {
         observed_->request_returned(request, attempts);
     });
--- a/src/replication/member_health.cpp
+++ b/src/replication/member_health.cpp
@@ -45,6 +45,16 @@
 
 }  // namespace
 
+const char* exclusion_reason_name(ExclusionReason reason) {
+    switch (reason) {
+        case ExclusionReason::silent:
+            return "silent";
+        case ExclusionReason::lagging:
+            return "lagging";
+    }
+    return "unknown";
+}
+
 MemberHealth::MemberHealth(const RepairSettings& settings)
     : absence_limit_(settings.absence_limit), cooldown_(settings.cooldown) {}
 
@@ -60,6 +70,10 @@
 void MemberHealth::apply_table(const ReplicaTable& table) {
     table_version_ = table.version;
     disks_ = table.disks;
+    replicas_.clear();
+    for (const ReplicaSet& replica_set : table.shards) {
+        replicas_.push_back(replica_set.replicas);
+    }
 }
 
 void MemberHealth::update_member(Seconds now, const Name& name, const Incarnation& incarnation,
@@ -112,15 +126,17 @@
     });
 }
 
-void MemberHealth::exclude_unresponsive(Seconds now, const ReplicaTable& table,
-                                        const PrimaryReports& primary_reports) {
-    exclude_silent_primaries(now);
-    exclude_lagging(now, table, primary_reports);
+std::vector<Exclusion> MemberHealth::exclude_unresponsive(Seconds now, const ReplicaTable& table,
+                                                          const PrimaryReports& primary_reports) {
+    std::vector<Exclusion> excluded;
+    exclude_silent_primaries(now, excluded);
+    exclude_lagging(now, table, primary_reports, excluded);
+    return excluded;
 }
 
 // Excludes primaries that other members report as not answering. A primary that hears the others
 // and is not heard would block its shards for good.
-void MemberHealth::exclude_silent_primaries(Seconds now) {
+void MemberHealth::exclude_silent_primaries(Seconds now, std::vector<Exclusion>& excluded) {
     std::map<Name, std::size_t> complaints;
     std::size_t reporters = 0;
     for (const auto& [name, member] : members_) {
@@ -135,10 +151,9 @@
         }
     }
     for (const auto& [name, count] : complaints) {
-        MemberState& member = members_[name];
         // Half of the others have to complain: a lower count may be a fault of those who do.
         if (reporters > 0 && count >= kComplaintsLeast && 2 * count >= reporters - 1) {
-            exclude(now, member);
+            exclude(now, {name, ExclusionReason::silent, count}, excluded);
         }
     }
 }
@@ -146,21 +161,31 @@
 // Excludes members that do not acknowledge. A primary that gets no acknowledgement from most of its
 // backups is more likely the one that receives nothing: it is excluded instead.
 void MemberHealth::exclude_lagging(Seconds now, const ReplicaTable& table,
-                                   const PrimaryReports& primary_reports) {
+                                   const PrimaryReports& primary_reports,
+                                   std::vector<Exclusion>& excluded) {
     MembersByPrimary members = members_by_primary(now, table, primary_reports);
     for (const auto& [primary, lagging] : members.lagging) {
-        const bool primary_at_fault = lagging.size() >= kComplaintsLeast &&
-                                      2 * lagging.size() > members.backups[primary].size();
+        // One that is absent does not acknowledge whatever the primary receives.
+        const auto present = static_cast<std::size_t>(
+            std::count_if(lagging.begin(), lagging.end(), [&](const Name& name) {
+                const auto member = members_.find(name);
+                return member != members_.end() && member->second.present;
+            }));
+        const bool primary_at_fault =
+            present >= kComplaintsLeast && 2 * present > members.backups[primary].size();
         for (const Name& name : primary_at_fault ? std::set<Name>{primary} : lagging) {
-            exclude(now, members_[name]);
+            exclude(now, {name, ExclusionReason::lagging, lagging.size()}, excluded);
         }
     }
 }
 
 // An exclusion that has not ended is not extended.
-void MemberHealth::exclude(Seconds now, MemberState& member) const {
+void MemberHealth::exclude(Seconds now, const Exclusion& exclusion,
+                           std::vector<Exclusion>& excluded) {
+    MemberState& member = members_[exclusion.member];
     if (now >= member.excluded_until) {
         member.excluded_until = now + cooldown_;
+        excluded.push_back(exclusion);
     }
 }
 
@@ -190,6 +215,11 @@
 }
 
 bool MemberHealth::is_unavailable(Seconds now, ShardId shard_id, const Name& name) const {
+    return is_out_of_reach(now, shard_id, name) ||
+           (is_excluded(now, name) && !is_spared(now, shard_id, name));
+}
+
+bool MemberHealth::is_out_of_reach(Seconds now, ShardId shard_id, const Name& name) const {
     if (is_lost(name, shard_id)) {
         return true;
     }
@@ -199,8 +229,31 @@
         return now > lease_since_ + absence_limit_;
     }
     const MemberState& member = it->second;
-    return !member.present || (member.report && !member.report->disk_works) ||
-           now < member.excluded_until;
+    return !member.present || (member.report && !member.report->disk_works);
+}
+
+bool MemberHealth::is_excluded(Seconds now, const Name& name) const {
+    const auto it = members_.find(name);
+    return it != members_.end() && now < it->second.excluded_until;
+}
+
+// Whether the member counts for the shard although it is excluded: all replicas within reach are,
+// and it is the first of them.
+bool MemberHealth::is_spared(Seconds now, ShardId shard_id, const Name& name) const {
+    if (shard_id.value >= replicas_.size()) {
+        return false;
+    }
+    const Name* first = nullptr;
+    for (const Name& replica : replicas_[shard_id.value]) {
+        if (is_out_of_reach(now, shard_id, replica)) {
+            continue;
+        }
+        if (!is_excluded(now, replica)) {
+            return false;
+        }
+        first = first ? first : &replica;
+    }
+    return first && *first == name;
 }
 
 bool MemberHealth::is_confirmed(Seconds now, ShardId shard_id, const Name& name) const {
--- a/src/replication/member_health.hpp
+++ b/src/replication/member_health.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "replication/primary_reports.hpp"
 #include "replication/repair_settings.hpp"
@@ -29,6 +30,20 @@
     std::map<Name, Seconds> silent_primaries;
 };
 
+// Why a member counts as unavailable although it is present.
+enum class ExclusionReason {
+    silent,   // others report that it does not answer as a primary
+    lagging,  // it does not acknowledge as a replica, or hears no acknowledgement as a primary
+};
+const char* exclusion_reason_name(ExclusionReason reason);
+
+struct Exclusion {
+    Name member;
+    ExclusionReason reason = ExclusionReason::silent;
+    // Members that reported it.
+    std::size_t complaints = 0;
+};
+
 // One thread; no I/O, no clock: each call carries the time in seconds.
 class MemberHealth {
   public:
@@ -36,7 +51,7 @@
 
     // Forgets the reports to a former lease holder. `table` is the newest.
     void lease_acquired(Seconds now, const ReplicaTable& table);
-    // Takes the version and the disks of a newer table.
+    // Takes the version, the disks and the replica sets of a newer table.
     void apply_table(const ReplicaTable& table);
     // Presence of a member, from gossip. Ignored if `incarnation` is older than the known one.
     void update_member(Seconds now, const Name& name, const Incarnation& incarnation,
@@ -49,15 +64,17 @@
     void remove_member(const Name& name);
     // A removed member that is present again and is in no replica set of `table` may be used again.
     void readmit_returned_members(const ReplicaTable& table);
-    // Excludes members that others report as not responding, for the cooldown.
-    void exclude_unresponsive(Seconds now, const ReplicaTable& table,
-                              const PrimaryReports& primary_reports);
+    // Excludes members that others report as not responding, for the cooldown. Returns those that
+    // were not excluded before.
+    std::vector<Exclusion> exclude_unresponsive(Seconds now, const ReplicaTable& table,
+                                                const PrimaryReports& primary_reports);
 
     // May become a replica: present, with a recent report and a disk that works.
     bool is_healthy(Seconds now, const Name& name) const;
     // Has a place in the ideal replica sets: present, or absent for less than the limit.
     bool is_counted_on(Seconds now, const Name& name) const;
-    // Its replica of the shard is out of reach, or is lost.
+    // Its replica of the shard is out of reach or lost, or it is excluded. Exclusions never take
+    // the last replica within reach, which is the only one that the shard can be repaired from.
     bool is_unavailable(Seconds now, ShardId shard_id, const Name& name) const;
     // It has reported lately, under the newest table, that it holds its replica of the shard.
     bool is_confirmed(Seconds now, ShardId shard_id, const Name& name) const;
@@ -77,10 +94,13 @@
     }
 
   private:
-    void exclude_silent_primaries(Seconds now);
+    bool is_out_of_reach(Seconds now, ShardId shard_id, const Name& name) const;
+    bool is_excluded(Seconds now, const Name& name) const;
+    bool is_spared(Seconds now, ShardId shard_id, const Name& name) const;
+    void exclude_silent_primaries(Seconds now, std::vector<Exclusion>& excluded);
     void exclude_lagging(Seconds now, const ReplicaTable& table,
-                         const PrimaryReports& primary_reports);
-    void exclude(Seconds now, MemberState& member) const;
+                         const PrimaryReports& primary_reports, std::vector<Exclusion>& excluded);
+    void exclude(Seconds now, const Exclusion& exclusion, std::vector<Exclusion>& excluded);
 
     Seconds absence_limit_;
     Seconds cooldown_;
@@ -90,6 +110,8 @@
     // Of the newest table: the disk on which each member's replicas are counted.
     std::map<Name, Disk> disks_;
     TableVersion table_version_;
+    // Of the newest table: the replicas of each shard, its primary first.
+    std::vector<std::vector<Name>> replicas_;
     Seconds lease_since_ = 0;
 };
 
--- a/src/replication/message_codec.hpp
+++ b/src/replication/message_codec.hpp
@@ -37,6 +37,7 @@
                           const std::vector<KeyVersion>& key_versions) override;
     void reply(const Name& to, RequestNumber number, Reply reply, TableVersion version,
                const Record* record) override;
+    void reply_later(const Name& to, RequestNumber number, TableVersion version) override;
     // EffectLogClientHost
     void send_claim(const Name& primary, RequestNumber number, const Key& key,
                     std::uint64_t content, const AttemptRecord& attempt,
--- a/src/replication/message_sender.cpp
+++ b/src/replication/message_sender.cpp
@@ -84,6 +84,11 @@
     }
     post(to, message);
 }
+// On the wire this is the reply of a primary that can't answer yet: members of earlier versions,
+// too, send their request again after it.
+void MessageSender::reply_later(const Name& to, RequestNumber number, TableVersion version) {
+    reply(to, number, Reply::try_again, version, nullptr);
+}
 void MessageSender::send_claim(const Name& primary, RequestNumber number, const Key& key,
                                std::uint64_t content, const AttemptRecord& attempt,
                                std::optional<Version> known_version) {
--- a/src/replication/repair_coordinator.cpp
+++ b/src/replication/repair_coordinator.cpp
@@ -72,7 +72,10 @@
 }
 
 void RepairCoordinator::plan(Seconds now) {
-    member_health_.exclude_unresponsive(now, table_, primary_reports_);
+    for (const Exclusion& exclusion :
+         member_health_.exclude_unresponsive(now, table_, primary_reports_)) {
+        host_->on_member_excluded(exclusion);
+    }
     member_health_.readmit_returned_members(table_);
     update_status(now);
     if (may_propose(now)) {
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -79,11 +79,47 @@
 // Forgets messages that can't be acknowledged any more, and resends what waits for too long.
 void Replica::resend_overdue(Seconds now) {
     sent_messages_.forget_expired(now);
-    for (const OperationNumber number : operations_.overdue(now, settings_.resend_interval)) {
+    const std::vector<OperationNumber> overdue =
+        operations_.overdue(now, settings_.resend_interval);
+    for (const OperationNumber number : overdue) {
         if (Operation* const operation = operations_.find(number)) {
             send(now, number, *operation);
         }
     }
+    tell_claimants_of_wait(overdue);
+}
+
+// A primary that waits for another replica is not silent: without a reply its claimants would
+// report it, and the repair coordinator would take the one complete replica for unreachable. One
+// reply to each claimant is enough. Not while its own disk is what it waits for: a disk that hangs
+// has to be noticed.
+void Replica::tell_claimants_of_wait(const std::vector<OperationNumber>& overdue) {
+    std::map<Name, RequestNumber> newest;
+    const auto add = [&](const Name& name, RequestNumber number) {
+        RequestNumber& known = newest[name];
+        known = std::max(known, number);
+    };
+    for (const OperationNumber number : overdue) {
+        const Operation* const operation = operations_.find(number);
+        if (!operation || operation->is_repair ||
+            !local_writes_.is_stored(operation->local_write)) {
+            continue;
+        }
+        if (operation->claimant) {
+            add(operation->claimant->name, operation->claimant->number);
+        }
+        const Shard& shard = shards_.at(operation->shard_id);
+        const auto queue = shard.queued.find(operation->key);
+        if (queue == shard.queued.end()) {
+            continue;
+        }
+        for (const ClaimantRequest& request : queue->second) {
+            add(request.from, request.number);
+        }
+    }
+    for (const auto& [name, number] : newest) {
+        host_->reply_later(name, number, table_.version);
+    }
 }
 
 bool Replica::waits_for_members() const {
--- a/src/replication/replica.hpp
+++ b/src/replication/replica.hpp
@@ -153,6 +153,7 @@
     void expire(Seconds now);
 
     void resend_overdue(Seconds now);
+    void tell_claimants_of_wait(const std::vector<OperationNumber>& overdue);
     bool waits_for_members() const;
     void wake_at(Seconds when) {
         due_ = std::min(due_, when);
--- a/src/replication/replica_host.hpp
+++ b/src/replication/replica_host.hpp
@@ -49,6 +49,9 @@
     // it isn't the primary.
     virtual void reply(const Name& to, RequestNumber number, Reply reply, TableVersion version,
                        const Record* record) = 0;
+    // To a claimant whose request waits for another replica: it will be answered once that is
+    // stored, and this primary is not silent meanwhile.
+    virtual void reply_later(const Name& to, RequestNumber number, TableVersion version) = 0;
     // Asks the planners for a table that is no older than `least`.
     virtual void request_table(TableVersion least) = 0;
     virtual void log_alarm(const std::string& text) = 0;
--- a/tests/replication/effect_log_client_test.cpp
+++ b/tests/replication/effect_log_client_test.cpp
@@ -192,4 +192,25 @@
     }
 }
 
+// Guards the reports by which a primary that waits for a lost replica was excluded.
+TEST_CASE("a primary that says that it can't answer yet is not silent") {
+    EffectLogClientSettings settings;
+    settings.claim_timeout = 0.5;
+    EffectLogFixture fixture(true, settings);
+    const bool replies = GENERATE(true, false);
+    for (int i = 1; i <= 11; ++i) {
+        const Seconds now = 10 + 0.1 * i;
+        if (i == 4) {
+            // Rejected by now: its client tries again.
+            fixture.effect_log.before_attempt(now, fixture.request, AttemptNumber{1}, {}, {});
+        }
+        fixture.effect_log.tick(now);
+        if (replies && i % 3 == 0) {
+            fixture.effect_log.on_reply(now, fixture.host.last, Reply::try_again, TableVersion{1},
+                                        nullptr);
+        }
+    }
+    CHECK(fixture.effect_log.silent_primaries(11.1).contains(kB) != replies);
+}
+
 }  // namespace tideline::test
--- a/tests/replication/repair_coordinator_test.cpp
+++ b/tests/replication/repair_coordinator_test.cpp
@@ -11,10 +11,14 @@
 struct RecordingRepairHost : RepairCoordinatorHost {
     std::optional<ReplicaTable> proposed;
     std::set<std::string> raised_alarms;
+    std::set<Name> excluded_members;
     void propose(const ReplicaTable& table) override {
         proposed = table;
     }
     void request_reports() override {}
+    void on_member_excluded(const Exclusion& exclusion) override {
+        excluded_members.insert(exclusion.member);
+    }
     void raise_alarm(const std::string& key, const std::string&) override {
         raised_alarms.insert(key);
     }
@@ -188,4 +192,40 @@
     CHECK(!after.shards[0].catching_up.empty());
 }
 
+// Seen with two members lost at once: their primary reports both, and is sound.
+TEST_CASE("a primary whose backups are all lost is not taken for one that hears nothing") {
+    ReplicaTable table = table_of(1, {kA, kB, kC});
+    table.replication_factor = 3;
+    RepairFixture fixture(table);
+    const Name fourth{"d"};
+    fixture.disks[fourth] = Disk{4};
+    fixture.incarnations[fourth] = Incarnation{1};
+    fixture.repair_coordinator.update_member(fixture.now, fourth, Incarnation{1}, Place{"d"}, true);
+    for (const Name& each : {kB, kC}) {
+        fixture.repair_coordinator.update_member(fixture.now, each, Incarnation{1},
+                                                 Place{each.value}, false);
+    }
+    fixture.silent_members = {kB, kC};
+    fixture.lagging[kA] = {{ShardId{0}, kB}, {ShardId{0}, kC}};
+    const ReplicaTable after = fixture.run_until_settled();
+    CHECK(fixture.host.excluded_members.count(kA) == 0);
+    CHECK(after.shards[0].primary() == kA);
+    CHECK(after.shards[0].is_catching_up(fourth));
+}
+
+// The lagging backup must not be spared in place of the primary that holds all records.
+TEST_CASE("of replicas that are all excluded the primary alone still counts") {
+    const Name fourth{"d"};
+    RepairFixture fixture(table_of(1, {kB, kA}));
+    fixture.disks[fourth] = Disk{4};
+    fixture.incarnations[fourth] = Incarnation{1};
+    fixture.repair_coordinator.update_member(fixture.now, fourth, Incarnation{1}, Place{"d"}, true);
+    fixture.lagging[kB] = {{ShardId{0}, kA}};
+    fixture.silent_primaries[kC] = {kB};
+    fixture.silent_primaries[fourth] = {kB};
+    const ReplicaTable after = fixture.run_until_settled();
+    CHECK(after.shards[0].primary() == kB);
+    CHECK(!after.shards[0].catching_up.empty());
+}
+
 }  // namespace tideline::test
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -161,4 +161,29 @@
     CHECK_FALSE(record->may_have_run());
 }
 
+// Seen in charge-in-flight: claimants that hear nothing report the primary as silent, although it
+// only waits for a replica that is lost.
+TEST_CASE("a primary that waits for a replica tells its claimants that it can't answer yet") {
+    PrimaryFixture fixture;
+    fixture.replica.claim(11, kC, RequestNumber{1}, kKey, 5, attempt_by(kC, 1), {});
+    fixture.replica.claim(11.1, kC, RequestNumber{2}, kKey, 5, attempt_by(kC, 1), {});
+    fixture.replica.claim(11.1, kB, RequestNumber{3}, kKey, 5, attempt_by(kB, 1), {});
+    const bool own_disk_hangs = GENERATE(false, true);
+    if (!own_disk_hangs) {
+        fixture.replica.on_stored(11.1, fixture.host.last_write);
+    }
+    fixture.replica.tick(11.5);
+    CHECK(fixture.host.replies.empty());
+    if (own_disk_hangs) {
+        CHECK(fixture.host.later_replies.empty());
+        return;
+    }
+    CHECK(fixture.host.later_replies == std::vector{RequestNumber{3}, RequestNumber{2}});
+    for (const auto& [to, number] : std::vector(fixture.host.sent_records)) {
+        fixture.replica.on_acknowledged(11.6, to, number);
+    }
+    CHECK(std::find(fixture.host.replies.begin(), fixture.host.replies.end(),
+                    std::pair{RequestNumber{1}, Reply::granted}) != fixture.host.replies.end());
+}
+
 }  // namespace tideline::test
--- a/tests/replication/replication_fixture.hpp
+++ b/tests/replication/replication_fixture.hpp
@@ -44,6 +44,7 @@
     std::vector<std::pair<Name, MessageNumber>> sent_digests;
     std::vector<std::pair<Name, MessageNumber>> acknowledgements;
     std::vector<std::pair<RequestNumber, Reply>> replies;
+    std::vector<RequestNumber> later_replies;
     std::vector<std::string> refusals;
     std::map<RequestNumber, Record> records_returned;
     WriteNumber last_write;
@@ -85,6 +86,9 @@
             records_returned[number] = *record;
         }
     }
+    void reply_later(const Name&, RequestNumber number, TableVersion) override {
+        later_replies.push_back(number);
+    }
     void request_table(TableVersion least) override {
         requested_table = std::max(requested_table, least);
     }
--- a/tools/replication_world/node.hpp
+++ b/tools/replication_world/node.hpp
@@ -81,6 +81,7 @@
     // RepairCoordinatorHost
     void propose(const ReplicaTable& table) override;
     void request_reports() override;
+    void on_member_excluded(const Exclusion&) override {}
     void raise_alarm(const std::string&, const std::string&) override {}
     void clear_alarm(const std::string&) override {}
     // MessageSender
