--- a/src/replication/effect_log_client.cpp
+++ b/src/replication/effect_log_client.cpp
@@ -78,6 +78,7 @@
                     cell,
                     now};
     open.claimed_at = now;
+    forget_sent(open);
     ask_primary(now, open);
 }
 
@@ -85,7 +86,6 @@
 void EffectLogClient::ask_primary(Seconds now, OpenRequest& open) {
     const Key& key = open.guarded.key;
     const Name* const primary = primary_requests_.primary_of(key);
-    claim_numbers_.erase(open.number);
     open.resend_at = now + (open.phase == Phase::polling
                                 ? std::max(settings_.poll_interval, settings_.resend_interval)
                                 : settings_.resend_interval);
@@ -93,8 +93,8 @@
         return host_->request_table(TableVersion{primary_requests_.table_version().value + 1});
     }
     open.number = primary_requests_.begin(now, *primary);
-    open.asked_at = now;
-    claim_numbers_[open.number] = open.guarded.request;
+    sent_requests_[open.number] = {open.guarded.request, now};
+    open.sent_numbers.push_back(open.number);
     if (open.phase == Phase::polling) {
         host_->send_read(*primary, open.number, key);
     } else {
@@ -103,11 +103,19 @@
     }
 }
 
+// What was sent for the request is answered for nobody any more.
+void EffectLogClient::forget_sent(OpenRequest& open) {
+    for (const RequestNumber number : open.sent_numbers) {
+        sent_requests_.erase(number);
+    }
+    open.sent_numbers.clear();
+}
+
 // The attempt could not be replicated in time: it goes out all the same, or the request is
 // rejected, as the settings say. The claim may have been granted all the same, so it is withdrawn
 // with the rejection.
 void EffectLogClient::fail_claim(Seconds now, OpenRequest& open) {
-    claim_numbers_.erase(open.number);
+    forget_sent(open);
     if (!std::exchange(alarm_raised_, true)) {
         host_->on_alarm(fmt::format("replication too slow: requests={}",
                                     settings_.allow_unreplicated ? "unreplicated" : "rejected"));
@@ -158,7 +166,7 @@
     if (open->second.phase != Phase::in_flight) {
         withdraw_claim(now, open->second);
     }
-    claim_numbers_.erase(open->second.number);
+    forget_sent(open->second);
     open_requests_.erase(open);
 }
 
@@ -193,7 +201,7 @@
         fail_claim(now, open);
     } else if (open.phase == Phase::polling && now >= answer_at) {
         const RequestId request = open.guarded.request;
-        claim_numbers_.erase(open.number);
+        forget_sent(open);
         withdraw_claim(now, open);
         open_requests_.erase(request);
         host_->on_effect_unknown(request);
@@ -226,6 +234,10 @@
         text += fmt::format(
             "i{}.{}.{}.{}{}", request.value, static_cast<int>(open.phase), open.attempt.number,
             open.number.value - first_request_number(incarnation_), open.known_version ? "k" : "");
+        for (const RequestNumber number : open.sent_numbers) {
+            text += fmt::format("s{}{}", number.value - first_request_number(incarnation_),
+                                sent_requests_.contains(number) ? "" : "-");
+        }
     }
     text += notifications_.state();
     for (const Name& name : owner_liveness_.gone_members()) {
--- a/src/replication/effect_log_client.hpp
+++ b/src/replication/effect_log_client.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "replication/effect_log_client_host.hpp"
 #include "replication/effect_log_settings.hpp"
@@ -114,18 +115,26 @@
         std::optional<Version> known_version;
         // Since when the newest attempt is claimed.
         Seconds claimed_at = 0;
-        Seconds asked_at = 0;
         Seconds resend_at = 0;
         // Of the request to a primary that was sent last; 0: none.
         RequestNumber number;
+        // Those in `sent_requests_` that are of this request.
+        std::vector<RequestNumber> sent_numbers;
+    };
+    // A claim or read that may still be answered: sent again, an earlier sending still counts.
+    struct SentRequest {
+        RequestId request;
+        Seconds sent_at = 0;
     };
 
     void ask_primary(Seconds now, OpenRequest& open);
     void drive_request(Seconds now, OpenRequest& open);
     void fail_claim(Seconds now, OpenRequest& open);
     void withdraw_claim(Seconds now, const OpenRequest& open);
-    void on_claim_reply(Seconds now, OpenRequest& open, Reply reply, const Record* record);
-    void apply_record(Seconds now, OpenRequest& open, const Record* record);
+    void forget_sent(OpenRequest& open);
+    void on_claim_reply(Seconds now, OpenRequest& open, Reply reply, const Record* record,
+                        Seconds asked_at);
+    void apply_record(Seconds now, OpenRequest& open, const Record* record, Seconds asked_at);
 
     EffectLogClientHost* host_;
     EffectLogClientSettings settings_;
@@ -133,8 +142,8 @@
     Incarnation incarnation_;
     // Requests that have not ended.
     std::map<RequestId, OpenRequest> open_requests_;
-    // By the number of a claim or read; each names a request in `open_requests_`.
-    std::map<RequestNumber, RequestId> claim_numbers_;
+    // Each is of a request in `open_requests_`, of its newest attempt and its present phase.
+    std::map<RequestNumber, SentRequest> sent_requests_;
     PrimaryRequests primary_requests_;
     OwnerLiveness owner_liveness_;
     Notifications notifications_;
--- a/src/replication/effect_log_replies.cpp
+++ b/src/replication/effect_log_replies.cpp
@@ -15,30 +15,34 @@
     if (notifications_.on_reply(number, reply, record, primary_requests_, *host_)) {
         return;
     }
-    const auto request = claim_numbers_.find(number);
-    if (request == claim_numbers_.end()) {
+    const auto sent = sent_requests_.find(number);
+    if (sent == sent_requests_.end()) {
         return;
     }
-    const auto found = open_requests_.find(request->second);
-    claim_numbers_.erase(request);
-    if (found == open_requests_.end() || found->second.number != number) {
+    const auto found = open_requests_.find(sent->second.request);
+    if (found == open_requests_.end()) {
         return;
     }
     OpenRequest& open = found->second;
     primary_requests_.on_reply(open.guarded.key);
+    if (reply == Reply::try_again) {
+        return;  // what was sent may still be answered
+    }
+    const Seconds asked_at = sent->second.sent_at;
+    sent_requests_.erase(sent);
     if (open.phase == Phase::claiming) {
-        return on_claim_reply(now, open, reply, record);
+        return on_claim_reply(now, open, reply, record, asked_at);
     }
     if (open.phase == Phase::polling && reply == Reply::record_read) {
         open.resend_at = now + settings_.poll_interval;
-        apply_record(now, open, record);
+        apply_record(now, open, record, asked_at);
     }
 }
 
 // The reply to a claim, before the attempt went out. After a reply that is not named here the claim
 // is sent again soon.
 void EffectLogClient::on_claim_reply(Seconds now, OpenRequest& open, Reply reply,
-                                     const Record* record) {
+                                     const Record* record, Seconds asked_at) {
     const RequestId request = open.guarded.request;
     switch (reply) {
         case Reply::granted:
@@ -47,6 +51,7 @@
             if (now >= open.claimed_at + settings_.claim_timeout) {
                 return fail_claim(now, open);
             }
+            forget_sent(open);
             ++granted_;
             alarm_raised_ = false;
             open.phase = Phase::in_flight;
@@ -55,13 +60,15 @@
         case Reply::answered:
         case Reply::running:
         case Reply::uncertain:
+            forget_sent(open);
             open.phase = Phase::polling;
             open.resend_at = now + settings_.poll_interval;
             host_->on_deferred(request);
-            return apply_record(now, open, record);
+            return apply_record(now, open, record, asked_at);
         case Reply::data_lost:
             return fail_claim(now, open);
         case Reply::key_conflict:
+            forget_sent(open);
             withdraw_claim(now, open);
             open_requests_.erase(request);
             host_->on_deferred(request);
@@ -73,11 +80,13 @@
 
 // Decides a request that is deferred by the record of its key: answers it, keeps it waiting while
 // an attempt of another runs, or gives it back to the policy.
-void EffectLogClient::apply_record(Seconds now, OpenRequest& open, const Record* record) {
+void EffectLogClient::apply_record(Seconds now, OpenRequest& open, const Record* record,
+                                   Seconds asked_at) {
     const RequestId request = open.guarded.request;
     if (record && record->answered) {
         ++deduplicated_;
         const std::string answer = record->answer;
+        forget_sent(open);
         withdraw_claim(now, open);
         open_requests_.erase(request);
         return host_->on_answer_found(request, answer);
@@ -94,12 +103,13 @@
             earlier.push_back(attempt);
             // The primary counted from when it answered; that was no earlier than when it was
             // asked.
-            earlier.back().sent_at -= now - open.asked_at;
+            earlier.back().sent_at -= now - asked_at;
         }
     }
     if (running) {
         return;
     }
+    forget_sent(open);
     withdraw_claim(now, open);
     if (!earlier.empty() && !open.guarded.idempotent) {
         open_requests_.erase(request);
--- a/tests/replication/effect_log_client_test.cpp
+++ b/tests/replication/effect_log_client_test.cpp
@@ -213,4 +213,50 @@
     CHECK(fixture.effect_log.silent_primaries(11.1).contains(kB) != replies);
 }
 
+// Guards against claims that no reply ever fits: with replicas slower than the interval of
+// resending, each reply is to a sending before the last.
+TEST_CASE("a reply to an earlier sending of a claim or a read counts") {
+    EffectLogFixture fixture;
+    const RequestNumber first = fixture.host.last;
+    fixture.effect_log.tick(10.15);
+    REQUIRE(fixture.host.last != first);
+    SECTION("a grant") {
+        fixture.effect_log.on_reply(10.2, first, Reply::granted, TableVersion{1}, nullptr);
+        CHECK(fixture.host.events.back() == "go");
+        const std::size_t events = fixture.host.events.size();
+        fixture.effect_log.on_reply(10.3, fixture.host.last, Reply::granted, TableVersion{1},
+                                    nullptr);
+        CHECK(fixture.host.events.size() == events);
+    }
+    SECTION("a grant after the word that it can't be given yet") {
+        fixture.effect_log.on_reply(10.2, first, Reply::try_again, TableVersion{1}, nullptr);
+        fixture.effect_log.on_reply(10.3, first, Reply::granted, TableVersion{1}, nullptr);
+        CHECK(fixture.host.events.back() == "go");
+    }
+    SECTION("not once the claim has failed") {
+        fixture.effect_log.tick(10.6);
+        REQUIRE(fixture.host.did("cannot"));
+        fixture.effect_log.on_reply(10.7, first, Reply::granted, TableVersion{1}, nullptr);
+        CHECK_FALSE(fixture.host.did("go"));
+    }
+    SECTION("not for a later attempt of the same request") {
+        fixture.effect_log.before_attempt(10.2, fixture.request, AttemptNumber{1}, {}, {});
+        fixture.effect_log.on_reply(10.3, first, Reply::granted, TableVersion{1}, nullptr);
+        CHECK_FALSE(fixture.host.did("go"));
+    }
+    SECTION("a read; its record is as old as the reply took") {
+        const Record record = fixture.record_by(kB, AttemptOutcome::in_flight);
+        fixture.effect_log.on_reply(10.2, first, Reply::running, TableVersion{1}, &record);
+        fixture.effect_log.tick(10.35);
+        REQUIRE(fixture.host.events.back() == "looks");
+        const RequestNumber read = fixture.host.last;
+        fixture.effect_log.tick(10.5);
+        REQUIRE(fixture.host.last != read);
+        fixture.effect_log.update_member(10.5, kB, Incarnation{1}, true);
+        fixture.effect_log.on_reply(10.6, read, Reply::record_read, TableVersion{1}, &record);
+        REQUIRE(fixture.host.did("enter"));
+        CHECK(fixture.host.earlier_attempts.at(0).sent_at <= 10 - (10.6 - 10.35) + 1e-9);
+    }
+}
+
 }  // namespace tideline::test
