--- a/src/replication/message_codec.hpp
+++ b/src/replication/message_codec.hpp
@@ -29,6 +29,8 @@
     void send_record(const Name& to, ShardId shard_id, TableVersion since, MessageNumber number,
                      const Record* record) override;
     void acknowledge(const Name& to, MessageNumber number) override;
+    void send_delay(const Name& to, ShardId shard_id, const Key& key, MessageNumber number,
+                    Seconds delay) override;
     void refuse(const Name& to, MessageNumber number, TableVersion version) override;
     void send_digests(const Name& to, ShardId shard_id, TableVersion since, MessageNumber number,
                       const Digests& digests) override;
--- a/src/replication/message_receiver.cpp
+++ b/src/replication/message_receiver.cpp
@@ -76,6 +76,11 @@
         }
         case wire::Holding::kCopied:
             return replica.on_acknowledged(now, from, MessageNumber{message.copied().no()});
+        case wire::Holding::kDelay: {
+            const wire::HeldDelay& delay = message.delay();
+            return replica.receive_delay(from, ShardId{delay.slot()}, key_from(delay),
+                                         MessageNumber{delay.no()}, delay.delay());
+        }
         case wire::Holding::kRefused:
             return replica.on_refused(now, from, MessageNumber{message.refused().no()},
                                       TableVersion{message.refused().number()});
--- a/src/replication/message_sender.cpp
+++ b/src/replication/message_sender.cpp
@@ -34,6 +34,16 @@
     message.mutable_copied()->set_no(number.value);
     post(to, message);
 }
+void MessageSender::send_delay(const Name& to, ShardId shard_id, const Key& key,
+                               MessageNumber number, Seconds delay) {
+    wire::Holding message;
+    wire::HeldDelay& fields = *message.mutable_delay();
+    fields.set_slot(shard_id.value);
+    put(key, fields);
+    fields.set_no(number.value);
+    fields.set_delay(delay);
+    post(to, message);
+}
 void MessageSender::refuse(const Name& to, MessageNumber number, TableVersion version) {
     wire::Holding message;
     message.mutable_refused()->set_no(number.value);
--- a/src/replication/pending_operations.hpp
+++ b/src/replication/pending_operations.hpp
@@ -29,6 +29,8 @@
     Key key;
     // Sent to one member that catches up; no claimant waits.
     bool is_repair = false;
+    // Carries a new version of the record; otherwise it asks for confirmation of the present one.
+    bool is_write = false;
     std::optional<ReplyTarget> claimant;
     Reply reply = Reply::granted;
     // Has to be on the disk of this member first.
--- a/src/replication/replica.hpp
+++ b/src/replication/replica.hpp
@@ -72,6 +72,9 @@
     // Between a primary and its replicas. `since`: the table that set the sender's replica set.
     void receive_record(Seconds now, const Name& from, ShardId shard_id, TableVersion since,
                         MessageNumber number, const Record* record);
+    // After an acknowledgement: the primary's message had arrived within `delay` seconds.
+    void receive_delay(const Name& from, ShardId shard_id, const Key& key, MessageNumber number,
+                       Seconds delay);
     void on_acknowledged(Seconds now, const Name& from, MessageNumber number);
     void on_refused(Seconds now, const Name& from, MessageNumber number, TableVersion version);
     void receive_digests(Seconds now, const Name& from, ShardId shard_id, TableVersion since,
@@ -132,6 +135,8 @@
                  Reply reply);
     void begin_operation(Seconds now, Shard& shard, Operation operation);
     void send(Seconds now, OperationNumber number, Operation& operation);
+    void tell_delay(const Operation& operation, const Name& to, MessageNumber number,
+                    Seconds delay);
     void finish_operation(Seconds now, OperationNumber number);
     void finish_operations(Seconds now, const std::vector<OperationNumber>& numbers);
 
--- a/src/replication/replica_backup.cpp
+++ b/src/replication/replica_backup.cpp
@@ -33,6 +33,14 @@
     return record;
 }
 
+ReceivedRecord received_from(const Name& from, MessageNumber number, const Record& record) {
+    ReceivedRecord received{from, number, record.version, {}};
+    for (const AttemptRecord& attempt : record.attempts) {
+        received.sent_at.push_back(attempt.sent_at);
+    }
+    return received;
+}
+
 }  // namespace
 
 // The shard of a message, if `from` is its primary. Otherwise null: refuses a primary that was
@@ -66,11 +74,33 @@
         const Record* const held = it == shard->records.end() ? nullptr : &it->second;
         if (!held || held->version < record->version) {
             put(shard_id, *shard, received_record(*record, held));
+            shard->received[record->key] = received_from(from, number, *record);
         }
     }
     local_writes_.acknowledge_when_stored(*host_, from, number);
 }
 
+// Only in memory: after a restart the age of an attempt is not known anyway.
+void Replica::receive_delay(const Name& from, ShardId shard_id, const Key& key,
+                            MessageNumber number, Seconds delay) {
+    const auto shard = shards_.find(shard_id);
+    if (shard == shards_.end()) {
+        return;
+    }
+    const auto found = shard->second.received.find(key);
+    const auto record = shard->second.records.find(key);
+    if (found == shard->second.received.end() || record == shard->second.records.end() ||
+        found->second.from != from || found->second.number != number ||
+        found->second.version != record->second.version || delay < 0) {
+        return;
+    }
+    std::vector<AttemptRecord>& attempts = record->second.attempts;
+    for (std::size_t i = 0; i < attempts.size() && i < found->second.sent_at.size(); ++i) {
+        attempts[i].sent_at = std::max(attempts[i].sent_at, found->second.sent_at[i] - delay);
+    }
+    shard->second.received.erase(found);
+}
+
 void Replica::receive_digests(Seconds now, const Name& from, ShardId shard_id, TableVersion since,
                               MessageNumber number, const Digests& theirs) {
     const Shard* const shard = shard_of_primary(from, shard_id, since, number);
--- a/src/replication/replica_expiry.cpp
+++ b/src/replication/replica_expiry.cpp
@@ -13,6 +13,7 @@
             return false;
         }
         dropped.push_back(each.first);
+        shard.received.erase(each.first);
         return true;
     });
     if (dropped.empty()) {
--- a/src/replication/replica_host.hpp
+++ b/src/replication/replica_host.hpp
@@ -39,6 +39,9 @@
     virtual void send_record(const Name& to, ShardId shard_id, TableVersion since,
                              MessageNumber number, const Record* record) = 0;
     virtual void acknowledge(const Name& to, MessageNumber number) = 0;
+    // To a replica that has acknowledged a record: its message took at most so many seconds.
+    virtual void send_delay(const Name& to, ShardId shard_id, const Key& key, MessageNumber number,
+                            Seconds delay) = 0;
     virtual void refuse(const Name& to, MessageNumber number, TableVersion version) = 0;
     virtual void send_digests(const Name& to, ShardId shard_id, TableVersion since,
                               MessageNumber number, const Digests& digests) = 0;
--- a/src/replication/replica_operations.cpp
+++ b/src/replication/replica_operations.cpp
@@ -22,6 +22,7 @@
     Operation operation;
     operation.shard_id = shard_id;
     operation.key = record.key;
+    operation.is_write = true;
     operation.reply = reply;
     operation.claimant = std::move(claimant);
     begin_operation(now, shard, std::move(operation));
@@ -120,10 +121,25 @@
     if (!operation || now > message.sent_at + kMessageDelayMost) {
         return;
     }
+    tell_delay(*operation, from, number, now - message.sent_at);
     operation->awaited.erase(from);
     finish_operation(now, message.operation);
 }
 
+// The member counts the ages of attempts from the arrival of the message. Once it knows how long
+// that took at most, it need not assume the longest delay. Nothing waits for this.
+void Replica::tell_delay(const Operation& operation, const Name& to, MessageNumber number,
+                         Seconds delay) {
+    if (!operation.is_write && !operation.is_repair) {
+        return;
+    }
+    const Records& records = shards_.at(operation.shard_id).records;
+    const auto record = records.find(operation.key);
+    if (record != records.end() && !record->second.answered && record->second.may_have_run()) {
+        host_->send_delay(to, operation.shard_id, operation.key, number, delay);
+    }
+}
+
 void Replica::on_refused(Seconds, const Name& from, MessageNumber number, TableVersion version) {
     if (sent_messages_.find(from, number) && version > table_.version) {
         host_->request_table(version);
--- a/src/replication/replica_shard.hpp
+++ b/src/replication/replica_shard.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <vector>
 
 #include "replication/claimant_request.hpp"
 #include "replication/pending_operations.hpp"
@@ -28,12 +29,23 @@
     std::set<OperationNumber> repairs;
 };
 
+// A record that came from a primary which has not said yet how long its message took.
+struct ReceivedRecord {
+    Name from;
+    MessageNumber number;
+    Version version;
+    // Of each attempt of the record: when it was sent, if the message took no time.
+    std::vector<Seconds> sent_at;
+};
+
 struct Shard {
     // Of the table that was applied last.
     ReplicaSet replica_set;
     Records records;
     // A row was found altered on the disk: nothing is served or acknowledged until it is replaced.
     bool corrupt = false;
+    // By key; each is of a record in `records`.
+    std::map<Key, ReceivedRecord> received;
     // Read from the disk, and not assigned by a table since.
     bool restored = false;
     // A key that is absent may have been lost with all replicas until then.
--- a/src/replication/replica_table.cpp
+++ b/src/replication/replica_table.cpp
@@ -55,6 +55,7 @@
 void Replica::clear(ShardId shard_id, Shard& shard) {
     abort_operations(shard_id, shard);
     shard.records.clear();
+    shard.received.clear();
     shard.corrupt = false;
     local_writes_.store_shard_removal(*host_, shard_id);
 }
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -186,4 +186,60 @@
                     std::pair{RequestNumber{1}, Reply::granted}) != fixture.host.replies.end());
 }
 
+// Seen in charge-in-flight: an attempt of 4.3 s was told as 14.3 s old after two changes of the
+// primary, beyond the repeat window, so an idempotent request failed.
+TEST_CASE("a replica knows the age of an attempt to within the delay that its primary measured") {
+    RecordingReplicaHost host;
+    Replica replica(host, {}, kB, Disk{2}, {}, 10);
+    replica.apply_table(10, table_of(1, {kA, kB}));
+    Record record;
+    record.key = kKey;
+    record.version = {TableVersion{1}, 1};
+    record.attempts = {attempt_by(kC, 1)};
+    record.attempts[0].sent_at = 20;  // it went out at 19.9: the message took 0.1 s
+    record.expires_at = 100;
+    replica.receive_record(20, kA, ShardId{0}, TableVersion{1}, MessageNumber{5}, &record);
+    const auto sent_at = [&] { return replica.find(kKey)->attempts.at(0).sent_at; };
+    REQUIRE(sent_at() == 15);
+    SECTION("told the delay of that message") {
+        replica.receive_delay(kA, ShardId{0}, kKey, MessageNumber{5}, 0.25);
+        CHECK(sent_at() == 19.75);
+        // A later version that is delayed does not make it later.
+        record.version.step = 2;
+        record.attempts[0].sent_at = 24;
+        replica.receive_record(24, kA, ShardId{0}, TableVersion{1}, MessageNumber{6}, &record);
+        CHECK(sent_at() == 19.75);
+    }
+    SECTION("told of another message") {
+        replica.receive_delay(kA, ShardId{0}, kKey, MessageNumber{6}, 0.25);
+        replica.receive_delay(kC, ShardId{0}, kKey, MessageNumber{5}, 0.25);
+        replica.receive_delay(kA, ShardId{0}, kKey, MessageNumber{5}, -1);
+        CHECK(sent_at() == 15);
+    }
+    SECTION("told of a version that was replaced") {
+        record.version.step = 2;
+        replica.receive_record(20.1, kA, ShardId{0}, TableVersion{1}, MessageNumber{6}, &record);
+        replica.receive_delay(kA, ShardId{0}, kKey, MessageNumber{5}, 0.25);
+        CHECK(sent_at() == 15);
+    }
+}
+
+TEST_CASE("a primary tells a replica how long the record of an attempt in flight took") {
+    PrimaryFixture fixture;
+    fixture.replica.claim(11, kC, RequestNumber{1}, kKey, 5, attempt_by(kC, 1), {});
+    fixture.replica.on_stored(11, fixture.host.last_write);
+    const MessageNumber first = fixture.host.sent_records.back().second;
+    fixture.replica.tick(11.5);
+    const MessageNumber again = fixture.host.sent_records.back().second;
+    REQUIRE(again != first);
+    // The acknowledgement of a message that took too long counts as none, and tells no delay.
+    fixture.replica.on_acknowledged(16.2, kB, first);
+    CHECK(fixture.host.sent_delays.empty());
+    fixture.replica.on_acknowledged(16.25, kB, again);
+    REQUIRE(fixture.host.sent_delays.size() == 1);
+    CHECK(fixture.host.sent_delays[0].to == kB);
+    CHECK(fixture.host.sent_delays[0].number == again);
+    CHECK(fixture.host.sent_delays[0].delay == Approx(4.75));
+}
+
 }  // namespace tideline::test
--- a/tests/replication/replication_fixture.hpp
+++ b/tests/replication/replication_fixture.hpp
@@ -38,6 +38,13 @@
     return {{name, Incarnation{1}, request}, attempt, AttemptOutcome::in_flight, {}, {}, 0};
 }
 
+// How long a message took at most, as a primary tells the replica that got it.
+struct SentDelay {
+    Name to;
+    MessageNumber number;
+    Seconds delay = 0;
+};
+
 // Records the calls of a replica. A write counts as stored once the test calls on_stored().
 struct RecordingReplicaHost : ReplicaHost {
     std::vector<std::pair<Name, MessageNumber>> sent_records;
@@ -45,6 +52,7 @@
     std::vector<std::pair<Name, MessageNumber>> acknowledgements;
     std::vector<std::pair<RequestNumber, Reply>> replies;
     std::vector<RequestNumber> later_replies;
+    std::vector<SentDelay> sent_delays;
     std::vector<std::string> refusals;
     std::map<RequestNumber, Record> records_returned;
     WriteNumber last_write;
@@ -68,6 +76,10 @@
     void acknowledge(const Name& to, MessageNumber number) override {
         acknowledgements.emplace_back(to, number);
     }
+    void send_delay(const Name& to, ShardId, const Key&, MessageNumber number,
+                    Seconds delay) override {
+        sent_delays.push_back({to, number, delay});
+    }
     void refuse(const Name& to, MessageNumber, TableVersion) override {
         refusals.push_back(to.value);
     }
