--- a/src/net/endpoint_connection.cpp
+++ b/src/net/endpoint_connection.cpp
@@ -38,9 +38,13 @@
 }
 
 // Nothing in a row names its request, so a message that comes unasked, such as a duplicate answer,
-// would be taken for the answer to the next statement. It ends the connection in whatever state.
+// would be taken for the answer to the next statement. It ends the connection in whatever state,
+// but behind an answer that is held: there it is the response to the statement under way.
 void EndpointConnection::on_received() {
     while (!closed() && !in_.empty()) {
+        if (state_ == State::idle && holds_answer_) {
+            take_response_behind_held();
+        }
         switch (read_message()) {
             case Step::incomplete:
                 return;
@@ -49,15 +53,36 @@
             case Step::taken:
                 break;
         }
-        if (closed() || state_ != State::ready) {
-            continue;
+        if (!closed() && state_ == State::ready) {
+            response_read();
         }
-        state_ = State::idle;
-        if (unreadable_parameter_ || !clean()) {
-            return fail_malformed();
+    }
+}
+
+// The response is read whole, and perhaps more.
+void EndpointConnection::response_read() {
+    state_ = State::idle;
+    acknowledge_at_once();
+    if (holds_answer_) {
+        if (in_.empty()) {
+            owner_.answer_held(number_);
         }
-        owner_.connection_free(number_);
+        return;
     }
+    if (last_response_ || !clean()) {
+        return fail_malformed();
+    }
+    owner_.connection_free(number_);
+}
+
+// What was held was a duplicate of the answer before: the endpoint answers in order. No further
+// statement is sent on this connection.
+void EndpointConnection::take_response_behind_held() {
+    holds_answer_ = false;
+    last_response_ = true;
+    state_ = State::sent;
+    load_.clear();
+    answer_.clear();
 }
 
 EndpointConnection::Step EndpointConnection::read_message() {
@@ -152,7 +177,7 @@
                 return false;
             }
             answer_.append(message);
-            end_exchange(Outcome::succeeded);
+            take_answer();
             return true;
         default:
             return take_error(body);
@@ -163,7 +188,7 @@
 void EndpointConnection::take_parameter(std::string_view body) {
     const auto parameter = pg::parameter(body);
     if (!parameter) {
-        unreadable_parameter_ = true;
+        last_response_ = true;
     } else if (parameter->first == kLoadParameter) {
         load_ = pg::load(parameter->second);
     }
@@ -188,6 +213,28 @@
     return true;
 }
 
+// An answer that equals the one before it on this connection may be a duplicate of that, which came
+// after the next statement was written. It is held, unless endpoints are known to repeat it.
+void EndpointConnection::take_answer() {
+    const AnswerDigest digest = digest_of(answer_);
+    const bool may_be_duplicate =
+        previous_answer_ == digest && !last_response_ && !owner_.is_repeated(digest);
+    previous_answer_ = digest;
+    if (may_be_duplicate) {
+        holds_answer_ = true;
+        state_ = State::completed;
+        return;
+    }
+    end_exchange(Outcome::succeeded);
+}
+
+AnswerDigest EndpointConnection::deliver_held() {
+    holds_answer_ = false;
+    end_exchange(Outcome::succeeded);
+    state_ = State::idle;
+    return *previous_answer_;
+}
+
 void EndpointConnection::end_exchange(Outcome outcome) {
     const std::uint64_t ending = take_exchange();
     state_ = State::completed;
--- a/src/net/endpoint_connection.hpp
+++ b/src/net/endpoint_connection.hpp
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "net/repeated_answers.hpp"
 #include "net/tcp_connection.hpp"
 
 namespace tideline::net {
@@ -23,6 +25,11 @@
                                     std::string_view answer) = 0;
         // The connection has come up, or its response has been read whole.
         virtual void connection_free(std::uint64_t connection) = 0;
+        // Whether endpoints are known to give this answer more than once in a row.
+        virtual bool is_repeated(AnswerDigest digest) const = 0;
+        // The answer under way equals the one before it, and may be its duplicate: it is held until
+        // the connection is told to deliver it, or another response takes its place.
+        virtual void answer_held(std::uint64_t connection) = 0;
         // The connection is of no further use; the exchange on it, if any, ended with `outcome`.
         virtual void connection_failed(std::uint64_t connection, Outcome outcome) = 0;
     };
@@ -36,6 +43,8 @@
     bool started() const {
         return state_ != State::starting;
     }
+    // Ends the exchange under way with the answer that is held. Returns its digest.
+    AnswerDigest deliver_held();
     // Whether it can take a statement: nothing is under way, unread, or unwritten, and the peer has
     // not closed it.
     bool clean();
@@ -62,6 +71,9 @@
     bool take(char type, std::string_view body, std::string_view message);
     void take_parameter(std::string_view body);
     bool take_error(std::string_view body);
+    void take_answer();
+    void response_read();
+    void take_response_behind_held();
     void end_exchange(Outcome outcome);
     void fail_malformed();
 
@@ -69,7 +81,11 @@
     const std::uint64_t number_;
     std::uint64_t exchange_ = 0;
     State state_ = State::starting;
-    bool unreadable_parameter_ = false;  // after this response it serves no further exchange
+    bool last_response_ = false;  // after this response it serves no further exchange
+    // Of the answer before the one under way; nothing before the first.
+    std::optional<AnswerDigest> previous_answer_;
+    // The answer under way may be a duplicate of the one before: see Owner::answer_held.
+    bool holds_answer_ = false;
     LoadReport load_;
     std::string answer_;
 };
--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -1,5 +1,6 @@
 #include "net/endpoint_pool.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "net/check_invariant.hpp"
@@ -262,6 +263,29 @@
     use_connection(number);
 }
 
+// The endpoint may be about to answer: what comes now takes the place of the held answer.
+void EndpointPool::answer_held(std::uint64_t number) {
+    PooledConnection& connection = **connections_.find(number);
+    const Seconds now = clock_now();
+    const Exchange* exchange = exchanges_.find(connection.link->exchange());
+    const Seconds left = exchange ? exchange->stop_at - now : 0;
+    loop_.timers.cancel(connection.timer);
+    connection.timer = loop_.timers.at(now + std::min(kDuplicateAnswerHoldTime, left / 2),
+                                       [this, number] { deliver_held(number); });
+}
+
+void EndpointPool::deliver_held(std::uint64_t number) {
+    PooledConnection& connection = **connections_.find(number);
+    connection.timer = Timers::kNone;
+    if (!connection.link->clean()) {
+        return;  // something is there to be read
+    }
+    repeated_answers_.add(connection.link->deliver_held());
+    if (connections_.find(number)) {
+        connection_free(number);
+    }
+}
+
 // Gives the connection to the exchange that has waited for longest, or keeps it as idle.
 void EndpointPool::use_connection(std::uint64_t number) {
     PooledConnection& connection = **connections_.find(number);
--- a/src/net/endpoint_pool.hpp
+++ b/src/net/endpoint_pool.hpp
@@ -97,7 +97,12 @@
                         std::string_view answer) override;
     void connection_free(std::uint64_t connection) override;
     void connection_failed(std::uint64_t connection, Outcome outcome) override;
+    bool is_repeated(AnswerDigest digest) const override {
+        return repeated_answers_.contains(digest);
+    }
+    void answer_held(std::uint64_t connection) override;
 
+    void deliver_held(std::uint64_t connection);
     void apply_line(const EndpointInfo& line, const Address& address);
     void close_outdated_connections();
     void begin(const Exchange& exchange);
@@ -116,6 +121,7 @@
     const Seconds keep_idle_;
     std::map<EndpointId, Endpoint> endpoints_;
     Slots<Exchange> exchanges_;
+    RepeatedAnswers repeated_answers_;
     // On the heap, so that references stay valid while others are added.
     Slots<std::unique_ptr<PooledConnection>> connections_;
 };
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -64,6 +64,9 @@
 constexpr double kIdleTimeoutFactor = 0.8;
 // Quiet time of a connection after an answer, s: duplicate answers arrive some milliseconds late.
 constexpr Seconds kDuplicateAnswerQuietTime = 0.02;
+// An answer that equals the one before it on its connection is held for that time, s: if it is a
+// duplicate that came later than the quiet time, the true answer follows.
+constexpr Seconds kDuplicateAnswerHoldTime = 0.1;
 
 // --- Discovery and release platform
 
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -170,6 +170,11 @@
     loop_.set_events(fd_.get(), static_cast<short>(in | (out_.empty() ? 0 : POLLOUT)));
 }
 
+void TcpConnection::acknowledge_at_once() {
+    const int on = 1;
+    ::setsockopt(fd_.get(), IPPROTO_TCP, TCP_QUICKACK, &on, sizeof on);
+}
+
 void TcpConnection::receive_again() {
     on_received();
     update_events();
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -73,6 +73,9 @@
     virtual bool closes_unread() const {
         return false;
     }
+    // Acknowledges what was read without waiting for something to send with it: a peer that holds
+    // back small writes until then sends them now.
+    void acknowledge_at_once();
     // Calls on_received() for what in_ still holds.
     void receive_again();
     // Leaves everything unread that still comes.
--- a/tests/net/endpoint_connection_test.cpp
+++ b/tests/net/endpoint_connection_test.cpp
@@ -113,6 +113,82 @@
     CHECK(client.answer() == "2");
 }
 
+// Guards against the answer of one request as the answer of the next: the duplicate comes after the
+// quiet time, when the next query is out.
+TEST_CASE("a duplicate answer behind the next query is not taken for its answer") {
+    SidecarFixture sidecar(1);
+    sidecar.begin();
+    TestConnection client = sidecar.client();
+    client.send(request());
+    TestConnection endpoint = sidecar.queried_endpoint();
+    endpoint.send(served("1"));
+    REQUIRE(client.answer() == "1");
+    const bool succeeds = GENERATE(true, false);
+    client.send(succeeds ? request() : request("charge"));
+    REQUIRE(endpoint.message().first == 'Q');
+    const std::string answer = succeeds ? served("2") : failed("XX000");
+    const double gap = GENERATE(0.0, 0.001, 0.02, 0.06);  // 0: both in one segment
+    if (gap == 0) {
+        endpoint.send(served("1") + answer);
+    } else {
+        endpoint.send(served("1"));
+        sleep_for(gap);
+        endpoint.send(answer);
+    }
+    CHECK(client.answer() == (succeeds ? "2" : "!58000"));
+    CHECK(endpoint.ended());
+    if (succeeds) {
+        client.send(request());
+        TestConnection fresh = sidecar.queried_endpoint();
+        fresh.send(served("3"));
+        CHECK(client.answer() == "3");
+    }
+}
+
+TEST_CASE("an answer that equals the one before it is delivered, and later not held any more") {
+    SidecarFixture sidecar(1);
+    sidecar.begin();
+    TestConnection client = sidecar.client();
+    client.send(request());
+    TestConnection endpoint = sidecar.queried_endpoint();
+    endpoint.send(served("1"));
+    REQUIRE(client.answer() == "1");
+    for (int i = 0; i < 3; ++i) {
+        client.send(request());
+        REQUIRE(endpoint.message().first == 'Q');
+        const double sent = now();
+        endpoint.send(served("1"));
+        CHECK(client.answer() == "1");
+        const bool held = now() - sent >= kDuplicateAnswerHoldTime;
+        CHECK((held == (i == 0) || now() - sent >= kDuplicateAnswerHoldTime));
+    }
+    CHECK_FALSE(endpoint.reset(0));
+}
+
+// The kernel acknowledges late while it hopes for something to send along: an endpoint that holds
+// back small writes until then sends its duplicate 40 ms later, after the quiet time.
+TEST_CASE("a duplicate answer that waits for the acknowledgement comes in the quiet time") {
+    SidecarFixture sidecar(1);
+    sidecar.begin();
+    TestConnection client = sidecar.client();
+    TestConnection next = sidecar.client();
+    client.send(request());
+    TestConnection endpoint = sidecar.queried_endpoint();
+    endpoint.send(served("0"));
+    REQUIRE(client.answer() == "0");
+    client.send(request());
+    REQUIRE(endpoint.message().first == 'Q');
+    endpoint.hold_small_writes();
+    endpoint.send(served("1"));
+    endpoint.send(served("1"));
+    REQUIRE(client.answer() == "1");
+    next.send(request());
+    TestConnection fresh = sidecar.queried_endpoint();
+    fresh.send(served("2"));
+    CHECK(next.answer() == "2");
+    CHECK(endpoint.ended());
+}
+
 TEST_CASE("a malformed load report costs its connection, not the answer") {
     SidecarFixture sidecar(1);
     sidecar.begin();
--- a/tests/net/fake_client.hpp
+++ b/tests/net/fake_client.hpp
@@ -107,6 +107,11 @@
         }
         return ended_;
     }
+    // A small write is held back until the one before it is acknowledged.
+    void hold_small_writes() {
+        const int off = 0;
+        ::setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &off, sizeof off);
+    }
     // Whether the other side reset the connection.
     bool reset(double wait = kLong) {
         pollfd in{fd_, 0, 0};
