--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -6,17 +6,27 @@
 #include <utility>
 
 #include "net/check_invariant.hpp"
+#include "net/clock_offset.hpp"
 #include "net/limits.hpp"
 
 namespace tideline::net {
+namespace {
+
+Seconds steady_time() {
+    return std::chrono::duration<Seconds>(std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
+}  // namespace
+
+Seconds wall_time() {
+    return std::chrono::duration<Seconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
 
 Seconds clock_now() {
-    using std::chrono::duration;
-    using std::chrono::steady_clock;
-    using std::chrono::system_clock;
-    static const Seconds offset = duration<double>(system_clock::now().time_since_epoch()).count() -
-                                  duration<double>(steady_clock::now().time_since_epoch()).count();
-    return offset + duration<double>(steady_clock::now().time_since_epoch()).count();
+    static const Seconds offset = clock_offset(steady_time, wall_time);
+    return offset + steady_time();
 }
 
 void EventLoop::watch(int fd, Watcher* watcher, short events) {
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -27,6 +27,8 @@
 
 // Unix time in seconds, read at the start and carried on by a monotonic clock.
 Seconds clock_now();
+// Unix time in seconds by the wall clock, which may be set while the process runs.
+Seconds wall_time();
 
 class EventLoop {
   public:
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <chrono>
 #include <limits>
 #include <utility>
 
@@ -17,11 +16,6 @@
 // s: by then other planners have reported whether they belong to a cluster.
 constexpr Seconds kFoundingDelay = 1.5;
 
-double unix_now() {
-    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 }  // namespace
 
 Planner::Planner(net::EventLoop& loop, net::Log& log, const PlannerConfig& planner_config,
@@ -60,7 +54,7 @@
     PlannerCoreHost& host = *this;
     planner_core_ = std::make_unique<PlannerCore>(host, settings, self(), std::move(state),
                                                   raft_storage_.disk().value, lasting_now());
-    planner_core_->set_unix_offset(unix_now() - lasting_now());
+    planner_core_->set_unix_offset(net::wall_time() - lasting_now());
 }
 
 void Planner::begin() {
@@ -82,7 +76,7 @@
     if (!fatal_error_.empty()) {
         return;
     }
-    cluster_ = {raft_storage_.disk().value ^ static_cast<std::uint64_t>(unix_now() * 1e6)};
+    cluster_ = {raft_storage_.disk().value ^ static_cast<std::uint64_t>(net::wall_time() * 1e6)};
     const raft::PersistentState first =
         PlannerCore::initial_state(self(), planner_config_.name, planner_config_.address);
     try {
@@ -145,7 +139,7 @@
     }
     tick_timer_ = loop_.timers.at(net::clock_now() + std::max(0.0, at - lasting_now()), [this] {
         tick_timer_ = net::Timers::kNone;
-        planner_core_->set_unix_offset(unix_now() - lasting_now());
+        planner_core_->set_unix_offset(net::wall_time() - lasting_now());
         planner_core_->tick(lasting_now());
         schedule_tick();
     });
--- a/tools/fault_tests/scenario_report.cpp
+++ b/tools/fault_tests/scenario_report.cpp
@@ -4,11 +4,52 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <filesystem>
+#include <fstream>
+
+#include "net/event_loop.hpp"
 
 namespace tideline::fault_tests {
 
+namespace {
+
+constexpr std::size_t kPrintedLogLines = 60;
+// s: beyond this, times of the logs and of the checks can't be compared closely.
+constexpr Seconds kClockDifferenceShown = 0.01;
+
+bool is_counter_line(const std::string& line) {
+    return line.find(" counters: ") != std::string::npos ||
+           line.find(" resource usage: ") != std::string::npos ||
+           line.find(" rejections by reason: ") != std::string::npos;
+}
+
+// The last lines of all logs in the folders, by their time: what is left of a run in CI.
+void print_logs(const std::vector<std::string>& folders) {
+    std::vector<std::string> lines;
+    for (const std::string& folder : folders) {
+        for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+            if (entry.path().extension() != ".log") {
+                continue;
+            }
+            std::ifstream log(entry.path());
+            for (std::string line; std::getline(log, line);) {
+                if (!is_counter_line(line)) {
+                    lines.push_back(fmt::format("{} {}", line, entry.path().stem().string()));
+                }
+            }
+        }
+    }
+    std::sort(lines.begin(), lines.end());
+    const std::size_t first = lines.size() - std::min(kPrintedLogLines, lines.size());
+    for (std::size_t i = first; i < lines.size(); ++i) {
+        fmt::print("      {}\n", lines[i]);
+    }
+}
+
+}  // namespace
+
 bool print_report(const ScenarioReport& report, std::size_t most_violations) {
     const bool passed = report.violations.empty();
     fmt::print("{:24} {:7} {:5.1f} s", report.name, passed ? "holds" : "FAULTS", report.took);
@@ -24,7 +65,12 @@
         fmt::print("    {}\n", report.violations[i]);
     }
     if (!passed) {
+        const Seconds clock_difference = net::wall_time() - net::clock_now();
+        if (std::abs(clock_difference) > kClockDifferenceShown) {
+            fmt::print("    the logs' clock is {:.3f} s ahead of the checks'\n", clock_difference);
+        }
         fmt::print("    logs in {}\n", fmt::join(report.folders, " and "));
+        print_logs(report.folders);
     }
     for (const std::string& folder : report.folders) {
         if (passed) {
