--- a/src/replication/effect_log_client.cpp
+++ b/src/replication/effect_log_client.cpp
@@ -127,6 +127,21 @@
         open.sent[open.attempt_number] = open.attempt;
         return host_->on_cleared(request, open.attempt_number);
     }
+    reject(now, open);
+}
+
+// The request may have run before its record was lost, so no attempt goes out, whatever the
+// settings allow for replicas that are only slow.
+void EffectLogClient::fail_for_lost_data(Seconds now, OpenRequest& open) {
+    forget_sent(open);
+    if (!std::exchange(lost_data_alarm_raised_, true)) {
+        host_->on_alarm("replicas lost: requests=rejected");
+    }
+    reject(now, open);
+}
+
+void EffectLogClient::reject(Seconds now, OpenRequest& open) {
+    const RequestId request = open.guarded.request;
     ++rejected_;
     withdraw_claim(now, open);
     open_requests_.erase(request);
--- a/src/replication/effect_log_client.hpp
+++ b/src/replication/effect_log_client.hpp
@@ -130,6 +130,8 @@
     void ask_primary(Seconds now, OpenRequest& open);
     void drive_request(Seconds now, OpenRequest& open);
     void fail_claim(Seconds now, OpenRequest& open);
+    void fail_for_lost_data(Seconds now, OpenRequest& open);
+    void reject(Seconds now, OpenRequest& open);
     void withdraw_claim(Seconds now, const OpenRequest& open);
     void forget_sent(OpenRequest& open);
     void on_claim_reply(Seconds now, OpenRequest& open, Reply reply, const Record* record,
@@ -151,8 +153,9 @@
     std::uint64_t unreplicated_ = 0;
     std::uint64_t rejected_ = 0;
     std::uint64_t deduplicated_ = 0;
-    // Once, until a claim is granted again.
+    // Each once, until a claim is granted again.
     bool alarm_raised_ = false;
+    bool lost_data_alarm_raised_ = false;
 };
 
 }  // namespace tideline::replication
--- a/src/replication/effect_log_replies.cpp
+++ b/src/replication/effect_log_replies.cpp
@@ -54,6 +54,7 @@
             forget_sent(open);
             ++granted_;
             alarm_raised_ = false;
+            lost_data_alarm_raised_ = false;
             open.phase = Phase::in_flight;
             open.sent[open.attempt_number] = open.attempt;
             return host_->on_cleared(request, open.attempt_number);
@@ -66,7 +67,7 @@
             host_->on_deferred(request);
             return apply_record(now, open, record, asked_at);
         case Reply::data_lost:
-            return fail_claim(now, open);
+            return fail_for_lost_data(now, open);
         case Reply::key_conflict:
             forget_sent(open);
             withdraw_claim(now, open);
