--- a/src/replication/notifications.cpp
+++ b/src/replication/notifications.cpp
@@ -39,6 +39,7 @@
 void Notifications::add(Seconds now, Notification notification, PrimaryRequests& requests,
                         EffectLogClientHost& host) {
     if (notifications_.size() >= kNotificationsMost) {
+        ids_.erase(notifications_.begin()->second.number);
         notifications_.erase(notifications_.begin());
     }
     const NotificationId id = ++last_id_;
--- a/tests/replication/effect_log_client_test.cpp
+++ b/tests/replication/effect_log_client_test.cpp
@@ -276,4 +276,21 @@
     CHECK(fixture.host.alarms[0].find("lost") != std::string::npos);
 }
 
+// Guards against a map that only grows while no primary answers.
+TEST_CASE("a notification that is given up for newer ones is forgotten whole") {
+    RecordingEffectLogHost host;
+    PrimaryRequests requests(0, 0.5);
+    requests.apply_table(table_of(1, {kB, kC}));
+    Notifications notifications(EffectLogClientSettings{});
+    notifications.settle(10, kKey, attempt_by(kA, 1), {}, requests, host);
+    const RequestNumber first{1};
+    for (std::size_t i = 0; i < kNotificationsMost; ++i) {
+        notifications.settle(10, kKey, attempt_by(kA, 2 + i), {}, requests, host);
+    }
+    REQUIRE(notifications.count() == kNotificationsMost);
+    // Its number names nothing any more, so the reply is not taken for a notification's.
+    CHECK_FALSE(notifications.on_reply(first, Reply::stored, nullptr, requests, host));
+    CHECK(notifications.on_reply(RequestNumber{2}, Reply::stored, nullptr, requests, host));
+}
+
 }  // namespace tideline::test
