--- a/src/cluster/planner_client.cpp
+++ b/src/cluster/planner_client.cpp
@@ -106,29 +106,40 @@
               reason == lease::LossReason::released  ? "released"
               : reason == lease::LossReason::expired ? "expired"
                                                      : "revoked");
+    wanted_alarms_.forget(lease);
     loop_.timers.soon([this, lease, token] { owner_.on_lease_lost(lease, token); });
 }
 
 void PlannerClient::set_alarm(const LeaseName& lease, bool raised, const std::string& key,
                               const std::string& text) {
-    const auto token = may_act(lease);
-    if (!token) {
+    if (!may_act(lease)) {
         return;
     }
+    wanted_alarms_.want({lease, key, raised, text});
+    send_alarms();
+    schedule_tick();
+}
+// Sends the changes of alarms that are due, each under the token of its lease.
+void PlannerClient::send_alarms() {
     expire_operations();
-    if (is_running(Operation::Kind::set_alarm, lease, key)) {
-        return;
+    for (const AlarmChange& change : wanted_alarms_.take_due(lasting_now())) {
+        const auto token = may_act(change.lease);
+        if (!token) {
+            wanted_alarms_.forget(change.lease);
+            continue;
+        }
+        Operation operation;
+        operation.kind = Operation::Kind::set_alarm;
+        operation.lease = change.lease;
+        operation.key = change.key;
+        operation.raised = change.raised;
+        const auto what = change.raised ? wire::LeaseAsk::RAISE : wire::LeaseAsk::CLEAR;
+        wire::LeaseAsk request =
+            make_request(what, start_operation(operation), change.lease, *token);
+        request.set_key(change.key);
+        request.set_text(change.text);
+        send(request);
     }
-    Operation operation;
-    operation.kind = Operation::Kind::set_alarm;
-    operation.lease = lease;
-    operation.key = key;
-    operation.raised = raised;
-    const auto what = raised ? wire::LeaseAsk::RAISE : wire::LeaseAsk::CLEAR;
-    wire::LeaseAsk request = make_request(what, start_operation(operation), lease, *token);
-    request.set_key(key);
-    request.set_text(text);
-    send(request);
 }
 void PlannerClient::request_raised_alarms(const LeaseName& lease) {
     Operation operation;
@@ -242,6 +253,11 @@
         return owner_.on_document_written(operation.lease, operation.number,
                                           granted && answer.done());
     }
+    if (operation.kind == Operation::Kind::set_alarm) {
+        wanted_alarms_.on_answer(lasting_now(), operation.lease, operation.key, granted);
+        send_alarms();
+        schedule_tick();
+    }
     if (!granted) {
         return;
     }
@@ -287,13 +303,14 @@
 }
 void PlannerClient::schedule_tick() {
     loop_.timers.cancel(tick_timer_);
-    const Seconds at = lease_client_.due();
+    const Seconds at = std::min(lease_client_.due(), wanted_alarms_.due());
     if (at == std::numeric_limits<double>::infinity()) {
         return;
     }
     tick_timer_ = loop_.timers.at(net::clock_now() + std::max(0.0, at - lasting_now()), [this] {
         tick_timer_ = net::Timers::kNone;
         lease_client_.tick(lasting_now());
+        send_alarms();
         schedule_tick();
     });
 }
--- a/src/cluster/planner_client.hpp
+++ b/src/cluster/planner_client.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cluster/peer_connections.hpp"
+#include "cluster/wanted_alarms.hpp"
 #include "lease/lease_client.hpp"
 #include "net/log.hpp"
 
@@ -56,7 +57,8 @@
     // token on.
     std::optional<lease::FencingToken> may_act(const lease::LeaseName& lease) const;
     // Raises or clears an alarm under the token of the lease; nothing if the member does not hold
-    // it. Answered by Owner::alarm_settled.
+    // it. Sent until the planners have committed it, a newer change takes its place or the lease
+    // is lost. Answered by Owner::on_alarm_committed.
     void set_alarm(const lease::LeaseName& lease, bool raised, const std::string& key,
                    const std::string& text);
     // Answered by Owner::standing.
@@ -99,6 +101,7 @@
 
     std::uint64_t start_operation(const Operation& operation);
     void expire_operations();
+    void send_alarms();
     bool is_running(Operation::Kind kind, const lease::LeaseName& lease,
                     const std::string& key) const;
     void handle_turn(const wire::Turn& turn);
@@ -125,6 +128,7 @@
     bool logged_foreign_cluster_ = false;
     std::map<std::uint64_t, Operation> operations_;  // by the id of the request
     std::uint64_t last_operation_ = 0;
+    WantedAlarms wanted_alarms_;
     net::Timers::Id tick_timer_ = net::Timers::kNone;
     net::Timers::Id watch_timer_ = net::Timers::kNone;
 };
--- a/src/lease/lease_state_machine.cpp
+++ b/src/lease/lease_state_machine.cpp
@@ -86,7 +86,12 @@
         return ChangeResult::stale_token;
     }
     auto& all = raised_alarms_[name];
-    if (all.contains(key) || all.size() >= kRaisedMost) {
+    // Raised as before, by whoever and since when it was; only its text is newer.
+    if (const auto raised = all.find(key); raised != all.end()) {
+        raised->second.text = text;
+        return ChangeResult::unchanged;
+    }
+    if (all.size() >= kRaisedMost) {
         return ChangeResult::unchanged;
     }
     all.emplace(key, RaisedAlarm{token, unix_time, text});
--- a/src/replication/repair_alarms.cpp
+++ b/src/replication/repair_alarms.cpp
@@ -11,6 +11,9 @@
 constexpr const char* kSinglePlaceKey = "one place";
 constexpr const char* kDataLostKey = "blind";
 
+// s: a text is told again no sooner, as each telling is an entry in the planners' log.
+constexpr Seconds kTextInterval = 5;
+
 std::string joined(const std::set<Name>& names) {
     std::string text;
     for (const Name& name : names) {
@@ -21,37 +24,45 @@
 
 }  // namespace
 
-void RepairAlarms::update(const ReplicationStatus& status, const ReplicaTable& table,
+void RepairAlarms::update(Seconds now, const ReplicationStatus& status, const ReplicaTable& table,
                           RepairCoordinatorHost& host) {
     const std::string absent = joined(status.absent_members);
-    set(kUnavailableKey, status.unavailable,
+    set(now, kUnavailableKey, status.unavailable,
         fmt::format("shards unavailable: count={} total={} absent=\"{}\" action=\"bring them "
                     "back, or remove them\"",
                     status.unavailable, status.shards, absent),
         host);
-    set(kUnderReplicatedKey, status.under_replicated,
+    set(now, kUnderReplicatedKey, status.under_replicated,
         fmt::format("shards under-replicated: count={} total={} replicas_wanted={} absent=\"{}\"",
                     status.under_replicated, status.shards, table.replication_factor, absent),
         host);
-    set(kSinglePlaceKey, status.single_place,
+    set(now, kSinglePlaceKey, status.single_place,
         fmt::format("shards in one place only: count={} total={}", status.single_place,
                     status.shards),
         host);
-    set(kDataLostKey, status.data_lost,
+    set(now, kDataLostKey, status.data_lost,
         fmt::format("shards lost all replicas: count={} total={}", status.data_lost, status.shards),
         host);
 }
 
 void RepairAlarms::reset() {
-    raised_.clear();
+    told_.clear();
 }
 
-void RepairAlarms::set(const std::string& key, std::size_t count, const std::string& text,
-                       RepairCoordinatorHost& host) {
-    if (count > 0 && raised_.insert(key).second) {
-        host.raise_alarm(key, text);
+void RepairAlarms::set(Seconds now, const std::string& key, std::size_t count,
+                       const std::string& text, RepairCoordinatorHost& host) {
+    const bool raised = count > 0;
+    const auto told = told_.find(key);
+    const bool known = told != told_.end() && told->second.raised == raised;
+    const bool text_current =
+        !raised || (known && (told->second.text == text || now < told->second.at + kTextInterval));
+    if (known && text_current) {
+        return;
     }
-    if (count == 0 && raised_.erase(key) > 0) {
+    told_[key] = {raised, raised ? text : "", now};
+    if (raised) {
+        host.raise_alarm(key, text);
+    } else {
         host.clear_alarm(key);
     }
 }
--- a/src/replication/repair_alarms.hpp
+++ b/src/replication/repair_alarms.hpp
@@ -1,7 +1,7 @@
 // Incident alarms of the whole fleet on the state of its shards.
 #pragma once
 
-#include <set>
+#include <map>
 #include <string>
 
 #include "replication/repair_coordinator_host.hpp"
@@ -9,23 +9,30 @@
 
 namespace tideline::replication {
 
-// Raises an alarm once when its count of shards becomes positive, and clears it once when the count
-// is zero again. One thread; no I/O, no clock.
+// Raises an alarm when its count of shards becomes positive, and clears it when the count is zero.
+// A text whose figures changed is told again after a while. One thread; no I/O, no clock: each call
+// carries the time in seconds.
 class RepairAlarms {
   public:
     // `table` is the one that `status` was counted from.
-    void update(const ReplicationStatus& status, const ReplicaTable& table,
+    void update(Seconds now, const ReplicationStatus& status, const ReplicaTable& table,
                 RepairCoordinatorHost& host);
-    // Forgets what was raised, as by a former lease holder: alarms with a positive count are raised
-    // again.
+    // Forgets what was told, as by a former lease holder: the next update raises or clears each
+    // alarm, also those that the former holder left raised.
     void reset();
 
   private:
-    void set(const std::string& key, std::size_t count, const std::string& text,
+    // What the planners were told of an alarm last.
+    struct Told {
+        bool raised = false;
+        std::string text;
+        Seconds at = 0;
+    };
+    void set(Seconds now, const std::string& key, std::size_t count, const std::string& text,
              RepairCoordinatorHost& host);
 
-    // Keys of the alarms that this coordinator has raised and not cleared.
-    std::set<std::string> raised_;
+    // By key; none after a reset.
+    std::map<std::string, Told> told_;
 };
 
 }  // namespace tideline::replication
--- a/src/replication/repair_coordinator.cpp
+++ b/src/replication/repair_coordinator.cpp
@@ -87,7 +87,7 @@
 void RepairCoordinator::update_status(Seconds now) {
     status_ = replication_status(now, table_, member_health_);
     if (now >= member_health_.lease_since() + kReportAgeMost) {
-        alarms_.update(status_, table_, *host_);
+        alarms_.update(now, status_, table_, *host_);
     }
 }
 
--- a/tests/lease/lease_test.cpp
+++ b/tests/lease/lease_test.cpp
@@ -216,6 +216,18 @@
     CHECK(leases.clear(kTask, FencingToken{2}, "key") == ChangeResult::stale_token);
 }
 
+// Guards against texts that keep the figures with which their alarm was raised.
+TEST_CASE("an alarm that is raised again keeps its time and takes the newer text", "[lease]") {
+    LeaseStateMachine leases;
+    const FencingToken token{2};
+    leases.acquire(token, 0, kTask, member("a"));
+    REQUIRE(leases.raise(7, kTask, token, "few", "count=14") == ChangeResult::done);
+    CHECK(leases.raise(9, kTask, token, "few", "count=3") == ChangeResult::unchanged);
+    const auto& alarm = leases.raised_alarms().at(kTask).at("few");
+    CHECK(alarm.text == "count=3");
+    CHECK(alarm.since == 7);
+}
+
 TEST_CASE("any order of requests keeps one holder and rising fencing tokens", "[lease]") {
     CHECK(rc::check([] {
         LeaderFixture leader;
