--- a/src/replication/replica_metadata.hpp
+++ b/src/replication/replica_metadata.hpp
@@ -32,7 +32,8 @@
 class ReplicaMetadata {
   public:
     explicit ReplicaMetadata(const storage::SqliteDatabase& database) : database_(database) {}
-    // Nothing where the value is missing, or its checksum is wrong.
+    // Nothing where the value is missing. Throws storage::DamagedFileError where it was altered:
+    // an altered value may not pass for one that was never stored.
     std::optional<std::string> get(const char* name) const {
         Statement row(database_, "SELECT bytes, sum FROM kept WHERE key = ?");
         row.with(1, std::string(name));
@@ -41,7 +42,8 @@
         }
         std::string bytes = row.bytes(0);
         if (checksum_of(name, bytes) != row.number(1)) {
-            return std::nullopt;
+            throw storage::DamagedFileError(
+                fmt::format("{}: its {} is altered", database_.path(), name));
         }
         return bytes;
     }
@@ -50,7 +52,7 @@
         std::optional<std::string> bytes = get(name);
         if (!bytes) {
             throw storage::DamagedFileError(
-                fmt::format("{}: its {} is missing or altered", database_.path(), name));
+                fmt::format("{}: its {} is missing", database_.path(), name));
         }
         return std::move(*bytes);
     }
--- a/tests/replication/replica_store_test.cpp
+++ b/tests/replication/replica_store_test.cpp
@@ -188,6 +188,25 @@
                Catch::Contains("replica file moved aside: action=catch_up reason=\""));
     CHECK(fs::exists(folder.db() + ".damaged-1"));
 }
+// Guards against a primary that was deposed and, after a restart, takes an older table again.
+TEST_CASE("an altered number of the newest table is damage, not a table that was never seen") {
+    Folder folder;
+    {
+        ReplicaStore store(folder.path, kName, 7, {});
+        store.number(WriteNumber{1}, TableVersion{30});
+        wait(store, WriteNumber{1});
+    }
+    const char* damage =
+        GENERATE("UPDATE kept SET sum = sum + 1 WHERE CAST(key AS TEXT) = 'number'",
+                 "UPDATE kept SET bytes = '3' WHERE CAST(key AS TEXT) = 'number'");
+    {
+        storage::SqliteDatabase database(folder.path, "held.db", storage::JournalMode::rollback);
+        database.run(damage);
+    }
+    ReplicaStore store(folder.path, kName, 8, {});
+    CHECK_THAT(store.load_fault(), Catch::Contains("number is altered"));
+    CHECK(store.disk() == Disk{8});
+}
 TEST_CASE("scrubbing finds records that were altered while the store is open") {
     Folder folder;
     ReplicaStore store(folder.path, kName, 7, {});
