--- a/src/cluster/cluster_config.cpp
+++ b/src/cluster/cluster_config.cpp
@@ -151,6 +151,16 @@
     });
 }
 
+bool needs_restart(const ClusterConfig& started, const ClusterConfig& fresh) {
+    return fresh.name != started.name || fresh.place != started.place ||
+           fresh.listen != started.listen || fresh.address != started.address ||
+           fresh.folder != started.folder || fresh.max_epochs != started.max_epochs ||
+           fresh.planners != started.planners || fresh.lease_client != started.lease_client ||
+           fresh.audit_interval != started.audit_interval ||
+           fresh.slow_start_interval != started.slow_start_interval ||
+           fresh.replication != started.replication;
+}
+
 std::string digest_of(const std::string& text) {
     return fmt::format("{:016x}", XXH3_64bits(text.data(), text.size()));
 }
--- a/src/cluster/cluster_config.hpp
+++ b/src/cluster/cluster_config.hpp
@@ -21,6 +21,7 @@
     replication::RepairSettings repair_coordinator;
     Seconds scrub_interval = 3600;  // s: all replicas are read back from the disk once in that time
     bool group_commit = true;       // several records a fsync; false only for measurements
+    bool operator==(const ReplicationSettings&) const = default;
 };
 
 struct ClusterConfig {
@@ -43,6 +44,10 @@
     std::string digest;  // of the file's text
 };
 
+// Whether something differs that takes effect at the next start only. `started`: the configuration
+// with which the member was started.
+bool needs_restart(const ClusterConfig& started, const ClusterConfig& fresh);
+
 // Something wrong in a configuration file.
 struct ConfigError {
     int line = 0;  // 0: in the file as a whole
--- a/src/cluster/cluster_member.cpp
+++ b/src/cluster/cluster_member.cpp
@@ -35,6 +35,7 @@
                              std::uint64_t seed)
     : loop_(loop),
       log_(log),
+      started_config_(cluster_config),
       cluster_config_(cluster_config),
       sidecar_config_digest_(sidecar_config_digest),
       member_store_(cluster_config.folder, cluster_config.name, new_disk_id(), net::clock_now()),
@@ -109,20 +110,13 @@
 }
 
 void ClusterMember::apply_config(const ClusterConfig& fresh) {
-    const bool fixed =
-        fresh.name != cluster_config_.name || fresh.listen != cluster_config_.listen ||
-        fresh.address != cluster_config_.address || fresh.folder != cluster_config_.folder ||
-        fresh.place != cluster_config_.place || fresh.max_epochs != cluster_config_.max_epochs ||
-        fresh.planners != cluster_config_.planners ||
-        fresh.audit_interval != cluster_config_.audit_interval ||
-        fresh.slow_start_interval != cluster_config_.slow_start_interval;
     membership_.set_settings(fresh.membership, fresh.seeds);
     version_audit_.set_settings(fresh.version_audit);
     peer_connections_.set_bounds({fresh.max_connections, fresh.max_frame_bytes});
     cluster_config_ = fresh;
     publish_state();
-    // Member, place, addresses, folder, epochs and planners take effect at the next start.
-    log_.line("cluster configuration reloaded: restart_needed={}", fixed ? "yes" : "no");
+    log_.line("cluster configuration reloaded: restart_needed={}",
+              needs_restart(started_config_, fresh) ? "yes" : "no");
 }
 
 void ClusterMember::leave() {
--- a/src/cluster/cluster_member.hpp
+++ b/src/cluster/cluster_member.hpp
@@ -175,6 +175,8 @@
 
     net::EventLoop& loop_;
     net::Log& log_;
+    const ClusterConfig started_config_;
+    // Of the last reload.
     ClusterConfig cluster_config_;
     net::ObservedSidecar* observed_ = nullptr;
     const std::string sidecar_config_digest_;
--- a/src/lease/lease_client.hpp
+++ b/src/lease/lease_client.hpp
@@ -37,6 +37,7 @@
     Seconds ask_again = 2;
     // At most, from one renewal to the next; a third of the span where that is less.
     Seconds renew_most = 2;
+    bool operator==(const LeaseClientSettings&) const = default;
 };
 
 // Not thread-safe; called from the event loop only.
--- a/src/replication/effect_log_settings.hpp
+++ b/src/replication/effect_log_settings.hpp
@@ -17,6 +17,7 @@
     // Not replicated in time: true lets an attempt go out all the same, false rejects it.
     bool allow_unreplicated = false;
     Seconds retry_after = 1;  // for clients that are rejected
+    bool operator==(const EffectLogClientSettings&) const = default;
 };
 
 // Notifications that wait for a primary to take them; beyond this the oldest is given up.
--- a/src/replication/repair_settings.hpp
+++ b/src/replication/repair_settings.hpp
@@ -15,6 +15,7 @@
     Seconds cooldown = 10;          // a member that did not acknowledge is excluded for so long
     Seconds report_interval = 0.5;  // interval of asking for reports
     std::size_t max_moves = 16;     // shards that catch up at once
+    bool operator==(const RepairSettings&) const = default;
 };
 
 // Age limit of a report in seconds: an older one does not tell how its member is now. After the
--- a/src/replication/replica.hpp
+++ b/src/replication/replica.hpp
@@ -34,6 +34,7 @@
     Seconds comparison_interval = 60;  // interval of comparing a shard with its replicas
     double repair_rate = 2e6;          // bytes a second sent to members that catch up
     std::size_t repair_window = 64;    // records in flight to one member that catches up
+    bool operator==(const ReplicaSettings&) const = default;
 };
 
 // What a disk held when the process started.
