--- a/tools/model_checker/main.cpp
+++ b/tools/model_checker/main.cpp
@@ -42,9 +42,12 @@
 }
 
 SearchReport run_search(const std::string& name, const std::function<SearchResult()>& search,
-                        int depth, const std::string& description) {
+                        int depth, const std::string& description, bool stops_others) {
     const auto start = std::chrono::steady_clock::now();
     const SearchResult result = search();
+    if (!result.holds && stops_others) {
+        stop_requested = true;
+    }
     return {result,
             fmt::format("worlds: {}: {} states, {} steps, every order to depth {} from where {}{}, "
                         "{:.1f} s: {}",
@@ -58,11 +61,12 @@
 PendingReport start_search(const Scenario& scenario, SearchFunction search,
                            const Options& options) {
     const int depth = std::max(1, scenario.depth - options.less);
-    return std::async(std::launch::async, [=, max_states = options.max_states] {
-        return run_search(
-            scenario.name, [&] { return search(scenario, depth, max_states); }, depth,
-            scenario.description);
-    });
+    return std::async(std::launch::async,
+                      [=, max_states = options.max_states, first_fault = options.first_fault] {
+                          return run_search(
+                              scenario.name, [&] { return search(scenario, depth, max_states); },
+                              depth, scenario.description, first_fault);
+                      });
 }
 
 // Starts the searches that the options select, in the order in which they are printed.
@@ -75,7 +79,8 @@
         reports.push_back(std::async(std::launch::async, [options] {
             return run_search(
                 "currency", [&] { return search_version_audit(options.depth, options.max_states); },
-                options.depth, "a fleet of three begins, lags or knows one that lags");
+                options.depth, "a fleet of three begins, lags or knows one that lags",
+                options.first_fault);
         }));
     }
     for (const LeaseScenario& scenario : lease_scenarios()) {
