--- a/src/cli/planner.cpp
+++ b/src/cli/planner.cpp
@@ -1,6 +1,8 @@
 #include "cli/planner.hpp"
 
 #include <random>
+#include <stdexcept>
+#include <utility>
 
 #include "cli/signals.hpp"
 #include "planner/planner.hpp"
@@ -10,6 +12,16 @@
 
 constexpr int kExitFatal = 3;
 
+// At SIGHUP: a planner takes its configuration up at a start only, and says whether one is needed.
+void check_reload(const std::string& path, const planner::PlannerConfig& started, net::Log& log) {
+    try {
+        const bool changed = planner::planner_config_of(path) != started;
+        log.line("planner: configuration checked: restart_needed={}", changed ? "yes" : "no");
+    } catch (const std::runtime_error& error) {
+        log.alarm("planner: configuration invalid: {}", error.what());
+    }
+}
+
 }  // namespace
 
 int run_planner(const PlannerCommand& command) {
@@ -25,6 +37,9 @@
     planner.begin();
     while (!signals.shutdown_requested && planner.fatal_error().empty()) {
         loop.pass();
+        if (std::exchange(signals.reload_requested, false)) {
+            check_reload(command.config_path, planner_config, log);
+        }
         log.flush();
     }
     if (!planner.fatal_error().empty()) {
--- a/src/lease/lease_manager.hpp
+++ b/src/lease/lease_manager.hpp
@@ -45,6 +45,7 @@
     Seconds wait() const {
         return span * (1 + drift) / (1 - drift);
     }
+    bool operator==(const LeaseManagerSettings&) const = default;
 };
 
 // Not thread-safe; called from the event loop only.
--- a/src/planner/planner_config.hpp
+++ b/src/planner/planner_config.hpp
@@ -24,6 +24,7 @@
     std::size_t max_frame_bytes = 16 * 1024 * 1024;  // bytes: the longest frame; a snapshot is one
     raft::RaftSettings raft;
     lease::LeaseManagerSettings leases;
+    bool operator==(const PlannerConfig&) const = default;
 };
 
 // Reads the text into `planner_config`. Returns the faults, each with its line; the configuration
--- a/src/raft/raft.hpp
+++ b/src/raft/raft.hpp
@@ -54,6 +54,7 @@
     Seconds election_timeout_max = 1.0;
     std::size_t max_entries = 128;  // in one AppendEntries message
     bool pre_vote = true;           // false only where a test searches every order of elections
+    bool operator==(const RaftSettings&) const = default;
 };
 
 class Raft {
