--- /dev/null
+++ b/tools/soak/main.cpp
@@ -0,0 +1,113 @@
+// The soak: restarts and signals in series while clients keep using every open connection. Loopback
+// only; ends by itself. Exit status: 0 nothing was broken, 1 something was, 2 not run.
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <filesystem>
+
+#include "soak/soak_run.hpp"
+
+using namespace tideline;
+using namespace tideline::soak;
+
+namespace {
+
+constexpr int kExitViolations = 1;
+constexpr int kExitNotRun = 2;
+constexpr std::size_t kPrintedViolations = 12;
+
+struct CommandLine {
+    std::string program = "build/tideline";
+    std::uint32_t seed = 1;
+    int seeds = 1;
+    int steps = 8;
+    std::vector<int> keep;  // numbers of the steps that are played; empty: all
+    bool show = false;
+};
+
+std::vector<Step> schedule_of(const CommandLine& command_line, std::uint32_t seed) {
+    const std::vector<Step> drawn = draw_schedule(seed, command_line.steps);
+    if (command_line.keep.empty()) {
+        return drawn;
+    }
+    std::vector<Step> kept;
+    for (const int number : command_line.keep) {
+        kept.push_back(drawn.at(static_cast<std::size_t>(number - 1)));
+    }
+    return kept;
+}
+
+// True where nothing was broken.
+bool play(const CommandLine& command_line, std::uint32_t seed) {
+    SoakOptions options;
+    options.program = command_line.program;
+    options.seed = seed;
+    options.schedule = schedule_of(command_line, seed);
+    if (command_line.show) {
+        for (const Step& step : options.schedule) {
+            fmt::print("{}\n", text_of(step));
+        }
+        return true;
+    }
+    const SoakResult result = run_soak(options);
+    const std::vector<std::string> violations = violations_of(result.record);
+    fmt::print("soak, seed {}: {}; {}\n", seed, violations.empty() ? "holds" : "FAULTS",
+               summary_of(result.record));
+    if (violations.empty()) {
+        std::filesystem::remove_all(result.folder);
+        return true;
+    }
+    for (std::size_t i = 0; i < std::min(kPrintedViolations, violations.size()); ++i) {
+        fmt::print("    {}\n", violations[i]);
+    }
+    for (std::size_t i = 0; i < options.schedule.size(); ++i) {
+        fmt::print("    step {}: {}\n", i + 1, text_of(options.schedule[i]));
+    }
+    fmt::print("    log in {}; again: tideline_soak --program {} --seed {} --steps {}\n",
+               result.folder, command_line.program, seed, command_line.steps);
+    return false;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
+    CommandLine command_line;
+    CLI::App app("Restarts and signals in series, under clients that keep using open connections.",
+                 "tideline_soak");
+    app.failure_message([](const CLI::App*, const CLI::Error& error) {
+        return std::string("tideline_soak: ") + error.what() + "\n";
+    });
+    app.add_option("--program", command_line.program, "the sidecar's program")
+        ->check(CLI::ExistingFile)
+        ->capture_default_str();
+    app.add_option("--seed", command_line.seed, "the first")->capture_default_str();
+    app.add_option("--seeds", command_line.seeds, "how many, one after another")
+        ->check(CLI::Range(1, 10000))
+        ->capture_default_str();
+    app.add_option("--steps", command_line.steps, "of each schedule")
+        ->check(CLI::Range(1, 200))
+        ->capture_default_str();
+    app.add_option("--keep", command_line.keep,
+                   "numbers of the steps to play, to cut a schedule to those that matter")
+        ->check(CLI::Range(1, 200));
+    app.add_flag("--show", command_line.show, "print the schedule, play nothing");
+    try {
+        app.parse(argc, argv);
+        if (!std::filesystem::exists(command_line.program)) {
+            throw std::runtime_error("no program " + command_line.program);
+        }
+        int failed = 0;
+        for (int i = 0; i < command_line.seeds; ++i) {
+            failed += play(command_line, command_line.seed + static_cast<std::uint32_t>(i)) ? 0 : 1;
+            std::fflush(stdout);
+        }
+        return failed > 0 ? kExitViolations : 0;
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error);
+    } catch (const std::exception& error) {
+        fmt::print(stderr, "tideline_soak: {}\n", error.what());
+        return kExitNotRun;
+    }
+}
--- /dev/null
+++ b/tools/soak/soak_connection.cpp
@@ -0,0 +1,156 @@
+#include "soak/soak_connection.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+#include "net/postgres_protocol.hpp"
+
+namespace tideline::soak {
+namespace {
+
+namespace pg = net::pg;
+
+constexpr std::size_t kMaxAnswerBytes = 65536;
+// s: the sidecar ends its sending first, and closes half a second later: only then does the kernel
+// reset the connection, if something was left unread.
+constexpr Seconds kResetWithin = 0.8;
+// Of a DataRow with one column: the count and the size before the value.
+constexpr std::size_t kRowHeadBytes = 6;
+
+}  // namespace
+
+SoakConnection::SoakConnection(net::EventLoop& loop, Owner& owner, int number,
+                               const net::Address& sidecar)
+    : loop_(loop),
+      owner_(owner),
+      number_(number),
+      fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
+    const int on = 1;
+    ::setsockopt(fd_.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = sidecar.host;
+    to.sin_port = sidecar.port;
+    (void)::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to);
+    loop_.watch(fd_.get(), this, POLLOUT);
+}
+
+SoakConnection::~SoakConnection() {
+    close();
+}
+
+void SoakConnection::close() {
+    loop_.timers.cancel(piece_timer_);
+    loop_.timers.cancel(end_timer_);
+    if (fd_.valid()) {
+        loop_.unwatch(fd_.get());
+        fd_.reset();
+    }
+}
+
+void SoakConnection::finish_sending() {
+    ::shutdown(fd_.get(), SHUT_WR);
+}
+
+void SoakConnection::send(std::deque<Piece> pieces) {
+    free_ = false;
+    pieces_ = std::move(pieces);
+    send_next();
+}
+
+void SoakConnection::send_next() {
+    piece_timer_ = loop_.timers.at(net::clock_now() + pieces_.front().pause, [this] {
+        piece_timer_ = net::Timers::kNone;
+        const std::string bytes = std::exchange(pieces_.front().bytes, {});
+        pieces_.pop_front();
+        // An error that is reported here is not reported again by the socket.
+        reset_ |= ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0;
+        if (pieces_.empty()) {
+            owner_.request_sent(number_);
+        } else {
+            send_next();
+        }
+    });
+}
+
+void SoakConnection::ready(short events) {
+    if (connecting_) {
+        int error = 0;
+        socklen_t size = sizeof error;
+        ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+        if (error != 0) {
+            return end(true);
+        }
+        connecting_ = false;
+        loop_.set_events(fd_.get(), POLLIN);
+        const std::string startup = pg::startup("svc", "main");
+        (void)!::send(fd_.get(), startup.data(), startup.size(), MSG_NOSIGNAL);
+        return;
+    }
+    if (events != 0) {
+        read();
+    }
+}
+
+void SoakConnection::read() {
+    char bytes[16384];
+    const ssize_t got = ::recv(fd_.get(), bytes, sizeof bytes, 0);
+    if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (got < 0) {
+        return end(true);
+    }
+    if (got > 0) {
+        in_.append(bytes, static_cast<std::size_t>(got));
+        return take_messages();
+    }
+    // The sidecar has closed. If something was not read a reset follows.
+    loop_.set_events(fd_.get(), 0);
+    if (end_timer_ == net::Timers::kNone) {
+        end_timer_ = loop_.timers.at(net::clock_now() + kResetWithin, [this] {
+            end_timer_ = net::Timers::kNone;
+            int error = 0;
+            socklen_t size = sizeof error;
+            ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+            end(reset_ || error != 0);
+        });
+    }
+}
+
+void SoakConnection::take_messages() {
+    while (fd_.valid()) {
+        char type = 0;
+        std::string_view body;
+        std::size_t size = 0;
+        if (pg::next(in_, kMaxAnswerBytes, type, body, size) != pg::Read::whole) {
+            return;
+        }
+        const std::string content(body);
+        in_.erase(0, size);
+        if (type == 'D' && content.size() >= kRowHeadBytes) {
+            value_ = content.substr(kRowHeadBytes);
+        } else if (type == 'C') {
+            owner_.request_answered(number_, &value_);
+        } else if (type == 'E' && welcomed_) {
+            owner_.request_answered(number_, nullptr);
+        } else if (type == 'Z') {
+            welcomed_ = true;
+            free_ = pieces_.empty();
+            owner_.connection_free(number_);
+        }
+    }
+}
+
+void SoakConnection::end(bool unread) {
+    // Not yet sent in whole: the sidecar can't have read it.
+    const bool incomplete = !pieces_.empty();
+    close();
+    owner_.connection_ended(number_, unread || incomplete);
+}
+
+}  // namespace tideline::soak
--- /dev/null
+++ b/tools/soak/soak_run.cpp
@@ -0,0 +1,312 @@
+#include "soak/soak_run.hpp"
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <stdexcept>
+
+#include "fakes/fake_discovery.hpp"
+#include "fakes/fake_endpoint.hpp"
+#include "fakes/fake_release_platform.hpp"
+#include "fakes/loopback.hpp"
+#include "fakes/process.hpp"
+#include "fakes/run_until.hpp"
+#include "fakes/sidecar_settings.hpp"
+#include "soak/soak_clients.hpp"
+
+namespace tideline::soak {
+namespace {
+
+using namespace fakes;
+using nlohmann::json;
+
+constexpr int kEndpoints = 4;
+constexpr int kSteadyConnections = 8;
+constexpr int kCrowdConnections = 150;
+constexpr int kSockets = 512;
+constexpr int kFewSockets = 96;
+// Every third seed has a sidecar with few descriptors.
+constexpr std::uint32_t kFewSocketsEvery = 3;
+// s after SIGTERM: clients connect no more, and the earliest SIGKILL (the longest time limit and
+// 0.7 s, by the protocol).
+constexpr Seconds kConnectAfterTerm = 0.3;
+constexpr Seconds kKillAfterTerm = 1.5 + 0.7;
+constexpr Seconds kServesWithin = 12;
+constexpr Seconds kHang = 30;
+// Of the settings, and what a process may be held up.
+constexpr Seconds kDrainGrace = 0.5 + 0.15;
+
+class SoakRun {
+  public:
+    explicit SoakRun(const SoakOptions& options);
+    SoakResult run();
+
+  private:
+    void set_up_fakes();
+    void write_config();
+    void start();
+    void shut_down();
+    void end_life();
+    void apply(const Step& step);
+    void term_with(int second, Seconds gap);
+    void move();
+    void announce_change();
+    void drain_endpoint();
+    void set_hanging(bool hanging);
+    void run_for(Seconds span) {
+        run_until(loop_, span, [] { return false; });
+    }
+    SidecarLife& life() {
+        return result_.record.lives.back();
+    }
+
+    const SoakOptions& options_;
+    net::EventLoop loop_;
+    SoakResult result_;
+    FakeDiscovery discovery_{loop_};
+    FakeReleasePlatform platform_{loop_};
+    std::vector<std::unique_ptr<FakeEndpoint>> endpoints_;
+    std::vector<std::string> endpoint_ids_;
+    std::unique_ptr<SoakClients> clients_;
+    Process process_;
+    int discovery_in_use_ = 0;
+    int muted_steps_ = 0;
+    int drains_ = 0;
+    bool drains_in_progress_ = false;
+    std::uintmax_t log_size_ = 0;
+};
+
+SoakRun::SoakRun(const SoakOptions& options) : options_(options) {
+    char folder[] = "/tmp/tideline-soak-XXXXXX";
+    if (!::mkdtemp(folder)) {
+        throw std::runtime_error("can't make a folder under /tmp");
+    }
+    result_.folder = folder;
+    result_.record.drain_grace = kDrainGrace;
+    set_up_fakes();
+    clients_ =
+        std::make_unique<SoakClients>(loop_, result_.record, at_port(257, 5433), options.seed);
+}
+
+void SoakRun::set_up_fakes() {
+    bool listening = discovery_.add_listener(at_port(1, 8500)) >= 0 &&
+                     discovery_.add_listener(at_port(2, 8500)) >= 0 &&
+                     platform_.add_listener(at_port(1, 6400)) >= 0;
+    platform_.advances_by_votes = false;
+    for (int i = 0; i < kEndpoints; ++i) {
+        endpoints_.push_back(
+            std::make_unique<FakeEndpoint>(loop_, options_.seed + static_cast<std::uint32_t>(i)));
+        endpoints_.back()->build = 41;
+        listening = listening && endpoints_.back()->listen(at_port(512 + i, 5432));
+        endpoint_ids_.push_back(fmt::format("pod-{}", i));
+        discovery_.put(endpoint_entry(endpoint_ids_.back(), text_of(at_port(512 + i, 5432)), 41));
+    }
+    if (!listening) {
+        throw std::runtime_error("an address of the fakes is taken");
+    }
+}
+
+void SoakRun::write_config() {
+    const json config = {
+        {"name", "n1"},
+        {"listen", text_of(at_port(257, 5433))},
+        {"discovery", text_of(at_port(1 + discovery_in_use_, 8500))},
+        {"seed", fmt::format("8c1f30d2{:08x}", options_.seed)},
+        {"limits", {{"sockets", options_.seed % kFewSocketsEvery == 0 ? kFewSockets : kSockets}}},
+        {"deployer", {{"address", text_of(at_port(1, 6400))}, {"news", platform_.state()}}},
+        {"known", discovery_.snapshot()},
+        {"settings", settings(1)}};
+    const std::string path = result_.folder + "/config.json";
+    std::ofstream(path + ".new") << config.dump();
+    std::filesystem::rename(path + ".new", path);
+}
+
+void SoakRun::start() {
+    write_config();
+    const std::string log = result_.folder + "/log";
+    std::error_code missing;
+    log_size_ = std::filesystem::exists(log) ? std::filesystem::file_size(log, missing) : 0;
+    result_.record.lives.push_back({});
+    life().started_at = net::clock_now();
+    process_.start({options_.program, "sidecar", "--config", result_.folder + "/config.json"}, log);
+    // A change confirms the list to the new watch; with none it takes 2.1 s, longer than most
+    // lives.
+    for (const Seconds after : {0.1, 0.4, 0.8}) {
+        loop_.timers.at(net::clock_now() + after, [this] { announce_change(); });
+    }
+    clients_->process_started();
+    clients_->set_reconnecting(true);
+}
+
+// After the first SIGTERM: serves on for the clients it has, and has ended before SIGKILL may come.
+void SoakRun::shut_down() {
+    const Seconds term_at = *life().term_at;
+    run_until(loop_, term_at + kConnectAfterTerm - net::clock_now(),
+              [&] { return !process_.runs(); });
+    clients_->set_reconnecting(false);
+    run_until(loop_, term_at + kKillAfterTerm - net::clock_now(), [&] { return !process_.runs(); });
+    if (process_.runs()) {
+        life().overdue = true;
+        process_.signal(SIGKILL);
+    }
+    end_life();
+}
+
+void SoakRun::end_life() {
+    life().exit_status = process_.wait();
+    life().ready_at = life().ready_at ? life().ready_at : clients_->first_answer_at();
+    const std::string log = result_.folder + "/log";
+    life().wrote_log = std::filesystem::exists(log) && std::filesystem::file_size(log) > log_size_;
+}
+
+void SoakRun::term_with(int second, Seconds gap) {
+    life().term_at = net::clock_now();
+    process_.signal(SIGTERM);
+    run_for(gap);
+    if (second != 0) {
+        process_.signal(second);
+    }
+    shut_down();
+    start();
+}
+
+void SoakRun::move() {
+    discovery_in_use_ = 1 - discovery_in_use_;
+    write_config();
+    process_.signal(SIGHUP);
+}
+
+// A change that matters to nobody: an endpoint as it was.
+void SoakRun::announce_change() {
+    const std::size_t last = endpoint_ids_.size() - 1;
+    if (!drains_in_progress_) {
+        discovery_.put(endpoint_entry(endpoint_ids_[last],
+                                      text_of(at_port(512 + static_cast<int>(last), 5432)), 41));
+    }
+}
+
+// Drains one, removes it, and lists the same server under another id.
+void SoakRun::drain_endpoint() {
+    const int index = drains_++ % kEndpoints;
+    std::string& id = endpoint_ids_[static_cast<std::size_t>(index)];
+    const std::string address = text_of(at_port(512 + index, 5432));
+    json entry = endpoint_entry(id, address, 41);
+    entry["phase"] = "Draining";
+    const Seconds from = net::clock_now();
+    drains_in_progress_ = true;
+    discovery_.put(entry);
+    run_for(1.2);
+    discovery_.remove(id);
+    run_for(0.2);
+    result_.record.drains.push_back({index, from, net::clock_now()});
+    id = fmt::format("pod-{}-{}", index, drains_);
+    discovery_.put(endpoint_entry(id, address, 41));
+    drains_in_progress_ = false;
+}
+
+void SoakRun::set_hanging(bool hanging) {
+    for (auto& endpoint : endpoints_) {
+        endpoint->min_latency = hanging ? kHang : 0.004;
+        endpoint->max_latency = hanging ? kHang : 0.012;
+    }
+}
+
+void SoakRun::apply(const Step& step) {
+    run_for(step.pause);
+    if (muted_steps_ > 0 && --muted_steps_ == 0) {
+        discovery_.mute(0, false);
+        discovery_.mute(1, false);
+    }
+    switch (step.kind) {
+        case StepKind::term:
+            return term_with(0, 0);
+        case StepKind::term_twice:
+            return term_with(SIGTERM, step.argument);
+        case StepKind::hup_series:
+            for (int i = 0; i < 3; ++i) {
+                move();
+                run_for(step.argument);
+            }
+            return;
+        case StepKind::hup_then_term:
+            process_.signal(SIGHUP);
+            return term_with(0, 0);
+        case StepKind::term_then_hup:
+            return term_with(SIGHUP, 0);
+        case StepKind::move_then_term:
+            move();
+            run_for(step.argument);
+            return term_with(0, 0);
+        case StepKind::early_term:
+            term_with(0, 0);
+            run_for(step.argument);
+            return term_with(0, 0);
+        case StepKind::stop_in_shutdown:
+            life().term_at = net::clock_now();
+            process_.signal(SIGTERM);
+            process_.signal(SIGSTOP);
+            run_for(step.argument);
+            process_.signal(SIGCONT);
+            shut_down();
+            return start();
+        case StepKind::kill:
+            life().killed = true;
+            process_.signal(SIGKILL);
+            clients_->process_killed();
+            end_life();
+            return start();
+        case StepKind::crowd:
+            clients_->keep_open(kCrowdConnections);
+            run_for(0.3);
+            return clients_->keep_open(kSteadyConnections);
+        case StepKind::hang:
+            set_hanging(true);
+            run_for(0.2);
+            term_with(0, 0);
+            return set_hanging(false);
+        case StepKind::mute:
+            discovery_.mute(0, true);
+            discovery_.mute(1, true);
+            muted_steps_ = 2;
+            return;
+        case StepKind::drain:
+            if (muted_steps_ == 0) {
+                drain_endpoint();
+            }
+            return;
+    }
+}
+
+SoakResult SoakRun::run() {
+    start();
+    clients_->keep_open(kSteadyConnections);
+    for (const Step& step : options_.schedule) {
+        apply(step);
+    }
+    run_until(loop_, kServesWithin, [&] { return clients_->first_answer_at().has_value(); });
+    life().ready_at = clients_->first_answer_at().value_or(net::clock_now());
+    run_for(0.5);
+    clients_->stop();
+    run_until(loop_, 3, [&] { return !clients_->waiting(); });
+    life().term_at = net::clock_now();
+    process_.signal(SIGTERM);
+    shut_down();
+    for (int i = 0; i < kEndpoints; ++i) {
+        for (const ReceivedRequest& received : endpoints_[static_cast<std::size_t>(i)]->received) {
+            result_.record.attempts.push_back(
+                {received.at, received.request_id, received.request_class, i});
+        }
+    }
+    return std::move(result_);
+}
+
+}  // namespace
+
+SoakResult run_soak(const SoakOptions& options) {
+    return SoakRun(options).run();
+}
+
+}  // namespace tideline::soak
