--- a/src/net/endpoint_pool.hpp
+++ b/src/net/endpoint_pool.hpp
@@ -16,7 +16,8 @@
 
 namespace tideline::net {
 
-// All calls must come from the event loop's thread.
+// All calls must come from the event loop's thread. The member functions are defined in two files:
+// endpoint_pool.cpp (endpoints and exchanges) and endpoint_pool_connections.cpp (connections).
 class EndpointPool : EndpointConnection::Owner {
   public:
     // Provides statements and receives outcomes. Called only from the event loop's thread.
