--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -74,6 +74,7 @@
 // The listening socket stays readable while no descriptor is left: without this pause the event
 // loop would spin.
 void ClientListener::pause_accepting() {
+    ++accept_pauses_;
     loop_.set_events(listening_.get(), 0);
     if (resume_accepting_timer_ != Timers::kNone) {
         return;
@@ -142,9 +143,10 @@
 std::string ClientListener::report() const {
     std::string text = fmt::format(
         "clients={} clients_silent={} clients_partial_message={} clients_idle={} "
-        "clients_closed_for_room={}",
+        "clients_closed_for_room={} clients_accept_pauses={}",
         connections_.size(), uses_.count(ClientUse::silent),
-        uses_.count(ClientUse::partial_message), uses_.count(ClientUse::idle), closed_for_room_);
+        uses_.count(ClientUse::partial_message), uses_.count(ClientUse::idle), closed_for_room_,
+        accept_pauses_);
     for (const auto& [error, times] : rejections_by_error_) {
         text += fmt::format(" clients_turned_away[{}]={}", text_of(error), times);
     }
--- a/src/net/client_listener.hpp
+++ b/src/net/client_listener.hpp
@@ -90,6 +90,7 @@
     std::size_t partial_bytes_ = 0;  // sum over all clients
     std::map<ClientError, long> rejections_by_error_;
     long closed_for_room_ = 0;
+    long accept_pauses_ = 0;  // times that no client could be accepted because of the descriptors
     FileDescriptor listening_;
     bool shutting_down_ = false;
     Timers::Id resume_accepting_timer_ = Timers::kNone;
--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -127,6 +127,7 @@
     if (exchange.request) {
         connection.link->send(exchange_number,
                               owner_.statement_for(*exchange.request, exchange.stop_at));
+        owner_.attempt_written();
     } else {
         connection.link->send(exchange_number, kHealthCheckStatement);
     }
--- a/src/net/endpoint_pool.hpp
+++ b/src/net/endpoint_pool.hpp
@@ -30,6 +30,8 @@
         virtual std::string statement_for(RequestId request, Seconds stop_at) = 0;
         // Returns whether an attempt that waited for a connection may still be sent.
         virtual bool may_still_send(RequestId request, AttemptNumber number) = 0;
+        // The statement of an attempt has been passed to its connection.
+        virtual void attempt_written() = 0;
         virtual void attempt_ended(RequestId request, AttemptNumber number,
                                    const EndpointId& endpoint, Outcome outcome, Seconds took,
                                    const LoadReport& load, std::string_view answer) = 0;
@@ -58,9 +60,8 @@
     void begin_health_check(const EndpointId& endpoint);
     // Closes the connection that has been idle for the longest time. Returns false if none is idle.
     bool close_idle_connection();
-    std::size_t connection_count() const {
-        return connections_.size();
-    }
+    // Counts of connections by use, as fields of a log line.
+    std::string report();
 
   private:
     // An attempt or a health check that has not ended.
--- a/src/net/endpoint_pool_connections.cpp
+++ b/src/net/endpoint_pool_connections.cpp
@@ -1,4 +1,6 @@
 // Connections of the endpoint pool: when they are opened, reused and closed.
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -160,4 +162,26 @@
     return oldest != 0;
 }
 
+std::string EndpointPool::report() {
+    int opening = 0;
+    int in_use = 0;
+    int unfinished = 0;
+    int quiet = 0;
+    connections_.each([&](std::uint64_t, const auto& connection) {
+        opening += connection->opening ? 1 : 0;
+        in_use += connection->link->exchange() != 0 ? 1 : 0;
+        unfinished += connection->link->has_unfinished_response() ? 1 : 0;
+        quiet += connection->quiet ? 1 : 0;
+    });
+    std::size_t idle = 0;
+    for (const auto& [id, endpoint] : endpoints_) {
+        idle += endpoint.idle.size();
+    }
+    return fmt::format(
+        "endpoint_connections={} endpoint_connections_opening={} endpoint_connections_in_use={} "
+        "endpoint_connections_unfinished={} endpoint_connections_quiet={} "
+        "endpoint_connections_idle={}",
+        connections_.size(), opening, in_use, unfinished, quiet, idle);
+}
+
 }  // namespace tideline::net
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -159,7 +159,7 @@
 
 void Sidecar::set_timer(Seconds after, TimerId timer) {
     loop_.timers.at(clock_now() + after,
-                    [this, timer] { policy_->timer_fired(clock_now(), timer); });
+                    [this, timer] { policy_->timer_fired(decision_time(), timer); });
 }
 
 void Sidecar::log_event(const std::string& text) {
@@ -226,7 +226,7 @@
 
 void Sidecar::request_admitted(RequestId request) {
     const OpenRequest& open = *requests_.find(request);
-    const Seconds now = clock_now();
+    const Seconds now = decision_time();
     policy_->request_arrived(now, request, open.request_class, open.tenant, open.key,
                              open.deadline - now, std::nullopt);
 }
@@ -238,7 +238,7 @@
     }
     ++counters_.abandoned;
     requests_.conclude(*open);
-    policy_->request_abandoned(clock_now(), request);
+    policy_->request_abandoned(decision_time(), request);
     if (const auto attempt = take_guarded_attempt(request)) {
         return end_unsent_attempt(request, *attempt, true);
     }
@@ -268,11 +268,18 @@
 }
 
 bool Sidecar::may_still_send(RequestId request, AttemptNumber number) {
-    const bool may_send = policy_->may_still_send(clock_now(), request, number);
+    const bool may_send = policy_->may_still_send(decision_time(), request, number);
     counters_.recalled += may_send ? 0 : 1;
     return may_send;
 }
 
+// The process may be held up between the two readings of the clock.
+void Sidecar::attempt_written() {
+    const Seconds delay = clock_now() - decided_at_;
+    counters_.written_late += delay > kSuspensionThreshold ? 1 : 0;
+    counters_.max_send_delay = std::max(counters_.max_send_delay, delay);
+}
+
 void Sidecar::attempt_ended(RequestId request, AttemptNumber number, const EndpointId& endpoint,
                             Outcome outcome, Seconds took, const LoadReport& load,
                             std::string_view answer) {
@@ -289,14 +296,14 @@
         requests_.conclude(*open);
         clients_.answer(open->client, answer);
     }
-    policy_->attempt_ended(clock_now(), request, number, endpoint, outcome, took, open->concluded,
-                           load);
+    policy_->attempt_ended(decision_time(), request, number, endpoint, outcome, took,
+                           open->concluded, load);
     forget_if_done(request);
 }
 
 void Sidecar::health_check_ended(const EndpointId& endpoint, Outcome outcome, Seconds took,
                                  const LoadReport& load) {
-    policy_->health_check_ended(clock_now(), endpoint, outcome, took, load);
+    policy_->health_check_ended(decision_time(), endpoint, outcome, took, load);
 }
 
 }  // namespace tideline::net
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -104,6 +104,7 @@
     bool has_room_for_connection() override;
     std::string statement_for(RequestId request, Seconds stop_at) override;
     bool may_still_send(RequestId request, AttemptNumber number) override;
+    void attempt_written() override;
     void attempt_ended(RequestId request, AttemptNumber number, const EndpointId& endpoint,
                        Outcome outcome, Seconds took, const LoadReport& load,
                        std::string_view answer) override;
@@ -138,6 +139,10 @@
     // Removes the request if it is concluded and none of its attempts is in flight.
     void forget_if_done(RequestId request);
     void report_periodically();
+    // Reads the clock for a call to the routing policy, which may decide to send an attempt.
+    Seconds decision_time() {
+        return decided_at_ = clock_now();
+    }
 
     EventLoop& loop_;
     Log& log_;
@@ -163,6 +168,7 @@
     bool shutting_down_ = false;
     const bool overlapping_attempts_;
     Seconds shutting_down_since_ = 0;
+    Seconds decided_at_ = 0;  // the time of the latest call to the routing policy
     const Seconds ready_by_;  // from this time on clients are served in any case
     Timers::Id report_timer_ = Timers::kNone;
     Timers::Id ready_timer_ = Timers::kNone;
--- a/src/net/sidecar_guarded_attempts.cpp
+++ b/src/net/sidecar_guarded_attempts.cpp
@@ -46,7 +46,7 @@
     }
     --open->attempts_in_flight;
     ++counters_.outcomes[Outcome::never_sent];
-    policy_->attempt_ended(clock_now(), request, attempt.number, attempt.endpoint,
+    policy_->attempt_ended(decision_time(), request, attempt.number, attempt.endpoint,
                            Outcome::never_sent, clock_now() - attempt.asked_at, concluded, {});
     forget_if_done(request);
 }
@@ -58,7 +58,7 @@
         return;
     }
     const GuardedAttempt attempt = *take_guarded_attempt(request);
-    const Seconds now = clock_now();
+    const Seconds now = decision_time();
     // The endpoint may have started to drain, or the exposure cap of its build may have been
     // lowered, so the policy is asked again, as for any attempt that had to wait.
     const bool in_time = now < std::min(attempt.stop_at, open->deadline);
@@ -104,7 +104,7 @@
         return;
     }
     open->attempts = static_cast<int>(earlier.size());
-    const Seconds now = clock_now();
+    const Seconds now = decision_time();
     policy_->request_handed_over(now, request, open->request_class, open->tenant, open->key,
                                  open->deadline - now, earlier);
 }
--- a/src/net/sidecar_updates.cpp
+++ b/src/net/sidecar_updates.cpp
@@ -28,7 +28,7 @@
         observer_->endpoint_list_applied(discovery_.revision(), kind, endpoints, addresses);
     }
     endpoints_.apply_list(kind, endpoints, addresses);
-    policy_->endpoints_updated(clock_now(), kind, endpoints);
+    policy_->endpoints_updated(decision_time(), kind, endpoints);
     endpoints_.review_waiting_exchanges();
     if (has_endpoints_ || endpoints.empty()) {
         return;
@@ -38,24 +38,24 @@
 }
 
 void Sidecar::endpoint_list_confirmed(Seconds as_of) {
-    policy_->endpoint_list_confirmed(clock_now(), as_of);
+    policy_->endpoint_list_confirmed(decision_time(), as_of);
     if (!std::exchange(list_confirmed_, true)) {
         clients_.resume_waiting_clients();
     }
 }
 
 void Sidecar::endpoint_list_unreadable(Seconds since) {
-    policy_->endpoint_list_unreadable(clock_now(), since);
+    policy_->endpoint_list_unreadable(decision_time(), since);
 }
 
 void Sidecar::discovery_moved(Seconds since) {
-    policy_->discovery_moved(clock_now(), since);
+    policy_->discovery_moved(decision_time(), since);
 }
 
 void Sidecar::watch_lost(Seconds since, WatchLoss loss, const std::string& details) {
     ++counters_.watches_lost;
     log_.line("endpoint list watch lost: {}", details);
-    policy_->watch_lost(clock_now(), since, loss);
+    policy_->watch_lost(decision_time(), since, loss);
 }
 
 void Sidecar::watch_restored(const std::string& details) {
@@ -72,7 +72,7 @@
     if (observer_ && !observer_->release_status_received(build, stage, phase, cap, age)) {
         return;
     }
-    policy_->stage_announced(clock_now(), build, stage, phase, cap, age);
+    policy_->stage_announced(decision_time(), build, stage, phase, cap, age);
     endpoints_.review_waiting_exchanges();
 }
 
@@ -80,12 +80,12 @@
                              Seconds sent_ago) {
     const auto found = request_classes_.find(request_class);
     if (found != request_classes_.end()) {
-        policy_->answer_flagged(clock_now(), found->second, endpoint, sent_ago);
+        policy_->answer_flagged(decision_time(), found->second, endpoint, sent_ago);
     }
 }
 
 void Sidecar::vote_answered(VoteReply reply) {
-    policy_->vote_answered(clock_now(), reply);
+    policy_->vote_answered(decision_time(), reply);
 }
 
 void Sidecar::platform_event(const std::string& event) {
@@ -106,12 +106,12 @@
 }
 
 void Sidecar::set_trial_participation(TrialParticipation participation) {
-    policy_->trial_participation_set(clock_now(), participation);
+    policy_->trial_participation_set(decision_time(), participation);
     endpoints_.review_waiting_exchanges();
 }
 
 void Sidecar::set_slow_start_limit(const EndpointId& endpoint, double max_attempts, Seconds valid) {
-    policy_->slow_start_limit_set(clock_now(), endpoint, max_attempts, valid);
+    policy_->slow_start_limit_set(decision_time(), endpoint, max_attempts, valid);
 }
 
 // --- Report
@@ -129,11 +129,12 @@
         "answered_late={} abandoned={}",
         counters_.admitted, requests_.size(), requests_.peak(), counters_.rejected,
         counters_.failed, counters_.answered_late, counters_.abandoned);
-    log_.line("attempt counters: {} recalled={} retries={}", text_of_outcomes(counters_),
-              counters_.recalled, counters_.retries);
-    log_.line("connection counters: {} endpoint_connections={} lists={} watches_lost={}",
-              clients_.report(), endpoints_.connection_count(), counters_.lists,
-              counters_.watches_lost);
+    log_.line(
+        "attempt counters: {} recalled={} retries={} written_late={} send_delay_max_ms={:.1f}",
+        text_of_outcomes(counters_), counters_.recalled, counters_.retries, counters_.written_late,
+        counters_.max_send_delay * 1e3);
+    log_.line("connection counters: {} {} lists={} watches_lost={}", clients_.report(),
+              endpoints_.report(), counters_.lists, counters_.watches_lost);
     log_.line("resource usage: descriptors={} descriptors_peak={} {}",
               loop_.watched_count() + kUnwatchedDescriptors,
               loop_.peak_watched_count() + kUnwatchedDescriptors, text_of_resource_usage());
