--- a/src/net/endpoint_connection.hpp
+++ b/src/net/endpoint_connection.hpp
@@ -53,11 +53,6 @@
     std::uint64_t exchange() const {
         return exchange_;
     }
-    // Returns whether the outcome of the exchange was reported and the end of the response has not
-    // arrived yet.
-    bool has_unfinished_response() const {
-        return state_ == State::completed && exchange_ == 0;
-    }
     // Detaches the exchange in progress without reporting an outcome, and returns it.
     std::uint64_t detach_exchange() {
         return std::exchange(exchange_, 0);
--- a/src/net/endpoint_pool.hpp
+++ b/src/net/endpoint_pool.hpp
@@ -60,6 +60,9 @@
     void begin_health_check(const EndpointId& endpoint);
     // Closes the connection that has been idle for the longest time. Returns false if none is idle.
     bool close_idle_connection();
+    // Closes the connection that has waited longest for the end of a response whose answer was
+    // delivered. Returns false if none has waited for longer than a healthy endpoint needs.
+    bool close_unfinished_connection();
     // Counts of connections by use, as fields of a log line.
     std::string report();
 
@@ -97,6 +100,7 @@
         bool opening = true;  // counted in Endpoint::opening
         bool quiet = false;   // counted in Endpoint::quiet
         Seconds idle_since = 0;
+        Seconds unfinished_since = 0;  // valid while the connection is in unfinished_
         Timers::Id timer = Timers::kNone;
         std::unique_ptr<EndpointConnection> link;
     };
@@ -121,6 +125,8 @@
     void open_connections_for_waiting(const EndpointId& id, Endpoint& endpoint);
     void time_out_exchange(std::uint64_t exchange);
     void recall_waiting_exchanges(Endpoint& endpoint);
+    void await_end_of_response(std::uint64_t connection, Seconds stop_at);
+    void response_end_timed_out(std::uint64_t connection);
     void close_connection(std::uint64_t connection);
     void reuse_connection(std::uint64_t connection);
 
@@ -133,6 +139,9 @@
     RepeatedAnswers repeated_answers_;
     // Allocated separately, so that references stay valid while connections are added.
     Slots<std::unique_ptr<PooledConnection>> connections_;
+    // Connections whose exchange has ended before the end of its response, oldest first.
+    std::deque<std::uint64_t> unfinished_;
+    long unfinished_closed_ = 0;
 };
 
 }  // namespace tideline::net
--- a/src/net/endpoint_pool_connections.cpp
+++ b/src/net/endpoint_pool_connections.cpp
@@ -42,6 +42,7 @@
     }
     Endpoint& endpoint = endpoints_[(*connection)->endpoint];
     std::erase(endpoint.idle, number);
+    std::erase(unfinished_, number);
     endpoint.opening -= (*connection)->opening ? 1 : 0;
     endpoint.quiet -= (*connection)->quiet ? 1 : 0;
     --endpoint.connection_count;
@@ -51,12 +52,45 @@
     connections_.remove(number);
 }
 
+// The outcome of an exchange is known at the end of the answer, but its connection is busy until
+// the end of the response. An endpoint may never send that and keep the connection open, so the
+// response has to end by the stop time of its exchange.
+void EndpointPool::await_end_of_response(std::uint64_t number, Seconds stop_at) {
+    PooledConnection& connection = **connections_.find(number);
+    connection.unfinished_since = clock_now();
+    unfinished_.push_back(number);
+    loop_.timers.cancel(connection.timer);
+    connection.timer = loop_.timers.at(stop_at, [this, number] { response_end_timed_out(number); });
+}
+
+void EndpointPool::response_end_timed_out(std::uint64_t number) {
+    ++unfinished_closed_;
+    close_connection(number);
+}
+
+// A healthy endpoint ends the response together with the answer. After the quiet window the
+// connection would be reusable, so one that still waits for the end is of no use.
+bool EndpointPool::close_unfinished_connection() {
+    if (unfinished_.empty()) {
+        return false;
+    }
+    const std::uint64_t oldest = unfinished_.front();
+    const Seconds since = (*connections_.find(oldest))->unfinished_since;
+    if (clock_now() - since < kDuplicateAnswerQuietWindow) {
+        return false;
+    }
+    ++unfinished_closed_;
+    close_connection(oldest);
+    return true;
+}
+
 // After an answer, a connection is not used for a short quiet window: a duplicate of the answer may
 // arrive some milliseconds later and would be taken for the answer to the next statement. Any bytes
 // that arrive in that window end the connection.
 void EndpointPool::connection_free(std::uint64_t number) {
     PooledConnection& connection = **connections_.find(number);
     Endpoint& endpoint = endpoints_[connection.endpoint];
+    std::erase(unfinished_, number);
     loop_.timers.cancel(connection.timer);
     if (!connection.opening) {
         connection.quiet = true;
@@ -165,12 +199,10 @@
 std::string EndpointPool::report() {
     int opening = 0;
     int in_use = 0;
-    int unfinished = 0;
     int quiet = 0;
     connections_.each([&](std::uint64_t, const auto& connection) {
         opening += connection->opening ? 1 : 0;
         in_use += connection->link->exchange() != 0 ? 1 : 0;
-        unfinished += connection->link->has_unfinished_response() ? 1 : 0;
         quiet += connection->quiet ? 1 : 0;
     });
     std::size_t idle = 0;
@@ -180,8 +212,8 @@
     return fmt::format(
         "endpoint_connections={} endpoint_connections_opening={} endpoint_connections_in_use={} "
         "endpoint_connections_unfinished={} endpoint_connections_quiet={} "
-        "endpoint_connections_idle={}",
-        connections_.size(), opening, in_use, unfinished, quiet, idle);
+        "endpoint_connections_idle={} endpoint_connections_unfinished_closed={}",
+        connections_.size(), opening, in_use, unfinished_.size(), quiet, idle, unfinished_closed_);
 }
 
 }  // namespace tideline::net
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -190,7 +190,8 @@
 // descriptors for endpoints. Connections of little use are closed until there is room.
 bool Sidecar::make_room_below(std::size_t descriptors) {
     while (loop_.watched_count() + kReservedDescriptors >= descriptors) {
-        if (!clients_.close_one_client(kIdleClientEvictionThreshold) &&
+        if (!endpoints_.close_unfinished_connection() &&
+            !clients_.close_one_client(kIdleClientEvictionThreshold) &&
             !endpoints_.close_idle_connection() && !clients_.close_one_client(kClientSettleDelay)) {
             return false;
         }
