--- /dev/null
+++ b/src/policy/delay_bounds.hpp
@@ -0,0 +1,17 @@
+// Upper bounds, in seconds, of the delays that the protocol names. Whatever is allowed until a
+// certain time has to be decided earlier by the delay that may follow the decision.
+#pragma once
+
+#include "policy/types.hpp"
+
+namespace tideline {
+
+// From the reading of the clock for a decision to send an attempt until the last byte has arrived.
+// A process may be delayed for 0.15 s between reading the clock and writing to an endpoint; the
+// rest is for the network.
+constexpr Seconds kMaxSendDelay = 0.2;
+// A discovery service with many watches may send a change this long after a heartbeat that it sent
+// when it already had the change.
+constexpr Seconds kMaxNotificationLag = 0.4;
+
+}  // namespace tideline
--- a/src/policy/endpoint_list_freshness.cpp
+++ b/src/policy/endpoint_list_freshness.cpp
@@ -2,17 +2,9 @@
 
 #include <algorithm>
 
-namespace tideline {
-namespace {
-
-// A process may be delayed for 0.15 s between reading the clock and writing to an endpoint; the
-// rest is for the network.
-constexpr Seconds kMaxSendDelay = 0.2;
-// A discovery service with many watches may send a change this long after a heartbeat that it sent
-// when it already had the change.
-constexpr Seconds kMaxNotificationLag = 0.4;
+#include "policy/delay_bounds.hpp"
 
-}  // namespace
+namespace tideline {
 
 void EndpointListFreshness::confirmed(Seconds as_of) {
     confirmed_at_ = std::max(confirmed_at_.value_or(as_of), as_of);
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -1,5 +1,7 @@
 #include "policy/retry_policy.hpp"
 
+#include "policy/delay_bounds.hpp"
+
 namespace tideline {
 
 RepeatDecision RetryPolicy::decide(Seconds now, const Request& request,
@@ -16,7 +18,8 @@
         if (!attempt.may_have_run) {
             continue;
         }
-        if (now > attempt.sent + request_class.repeat_window) {
+        // The repeat has to arrive within the window, not only to be decided within it.
+        if (now + kMaxSendDelay > attempt.sent + request_class.repeat_window) {
             return RepeatDecision::window_over;
         }
         if (group == RepeatGroup::location && endpoint.location != attempt.endpoint.location) {
--- a/src/policy/retry_policy.hpp
+++ b/src/policy/retry_policy.hpp
@@ -11,7 +11,7 @@
 enum class RepeatDecision {
     allowed,
     side_effect,       // repeats of such a request are never recognised
-    window_over,       // repeats are no longer recognised
+    window_over,       // a repeat might arrive when it is no longer recognised
     outside_location,  // repeats are recognised only at the location of the earlier attempts
     outside_cell,      // repeats are recognised only in the cell of the earlier attempts
 };
--- a/tests/net/fake_client.hpp
+++ b/tests/net/fake_client.hpp
@@ -81,6 +81,13 @@
         }
         fd_ = -1;
     }
+    // The port of this end of the connection.
+    int local_port() const {
+        sockaddr_in at{};
+        socklen_t size = sizeof at;
+        ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+        return ntohs(at.sin_port);
+    }
     // Makes close() reset the connection.
     void reset_on_close() {
         const linger none{1, 0};
