--- a/tools/fakes/repeating_clients.cpp
+++ b/tools/fakes/repeating_clients.cpp
@@ -6,6 +6,34 @@
 #include <cmath>
 
 namespace tideline::fakes {
+namespace {
+
+const char* name_of(CallResult result) {
+    switch (result) {
+        case CallResult::nothing:
+            return "no answer";
+        case CallResult::succeeded:
+            return "succeeded";
+        case CallResult::rejected:
+            return "rejected";
+        case CallResult::failed:
+            return "failed";
+        case CallResult::wrong:
+            return "wrong value";
+    }
+    return "unknown result";
+}
+
+}  // namespace
+
+std::string attempts_of(const RepeatedRequest& request) {
+    std::string text = "\n        " + request.key + ":";
+    for (const Attempt& attempt : request.attempts) {
+        text += fmt::format(" [n{} {} after {:.2f} s \"{}\"]", attempt.sidecar + 1,
+                            name_of(attempt.result), attempt.latency, attempt.answer);
+    }
+    return text;
+}
 
 RepeatingClients::RepeatingClients(net::EventLoop& loop, std::vector<net::Address> sidecars,
                                    std::vector<std::string> request_classes, std::uint32_t seed)
--- a/tools/fakes/repeating_clients.hpp
+++ b/tools/fakes/repeating_clients.hpp
@@ -30,6 +30,10 @@
     Seconds succeeded_at = 0;  // when its client first received the answer; 0: never
 };
 
+// Formats a request for the message of a failed check, on a line of its own: its key, then for each
+// attempt the sidecar, the result, the seconds until the answer and the answer's text.
+std::string attempts_of(const RepeatedRequest& request);
+
 // Used only on the thread of the event loop, which must outlive it.
 class RepeatingClients {
   public:
--- a/tools/fault_tests/replication_run.hpp
+++ b/tools/fault_tests/replication_run.hpp
@@ -278,17 +278,15 @@
         std::size_t missing = 0;
         std::string missing_requests;
         for (const std::size_t request_index : chosen) {
-            const fakes::Attempt& attempt = clients.requests[request_index].attempts.back();
+            const fakes::RepeatedRequest& request = clients.requests[request_index];
+            const fakes::Attempt& attempt = request.attempts.back();
             if (attempt.result == fakes::CallResult::succeeded) {
                 continue;
             }
             ++missing;
             missing_requests += fmt::format(
-                " {} ({}) at n{}: {}, sent at {:.3f}, attempt {}, first answered at {:.3f};",
-                clients.requests[request_index].key, clients.requests[request_index].request_class,
-                attempt.sidecar + 1, fakes::text_of(attempt.result), attempt.sent_at,
-                clients.requests[request_index].attempts.size(),
-                clients.requests[request_index].succeeded_at);
+                "{} ({}, first answered at {:.3f}, sent last at {:.3f})", attempts_of(request),
+                request.request_class, request.succeeded_at, attempt.sent_at);
         }
         retried_at_end = chosen.size();
         expect(
--- a/tools/fault_tests/replication_scenarios_machine_loss.cpp
+++ b/tools/fault_tests/replication_scenarios_machine_loss.cpp
@@ -13,33 +13,6 @@
 using namespace fakes;
 using replication::ReplicaSet;
 
-const char* name_of(CallResult result) {
-    switch (result) {
-        case CallResult::nothing:
-            return "no answer";
-        case CallResult::succeeded:
-            return "succeeded";
-        case CallResult::rejected:
-            return "rejected";
-        case CallResult::failed:
-            return "failed";
-        case CallResult::wrong:
-            return "wrong value";
-    }
-    return "unknown result";
-}
-
-// Formats a request for the message of a failed check: its key, then for each attempt the sidecar,
-// the result, the seconds until the answer and the answer's text.
-std::string attempts_of(const RepeatedRequest& request) {
-    std::string text = "\n        " + request.key + ":";
-    for (const Attempt& attempt : request.attempts) {
-        text += fmt::format(" [n{} {} after {:.2f} s \"{}\"]", attempt.sidecar + 1,
-                            name_of(attempt.result), attempt.latency, attempt.answer);
-    }
-    return text;
-}
-
 // A sidecar's machine is lost while its requests are in flight at slow endpoints. The clients retry
 // at other sidecars.
 void lose_with_requests_in_flight(ReplicationFleet& fleet, int lost_member) {
