--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -142,10 +142,11 @@
     Exchange exchange = *found;
     loop_.timers.cancel(exchange.timer);
     exchanges_.remove(number);
+    const Seconds now = clock_now();
     if (connections_.find(exchange.connection)) {
-        await_end_of_response(exchange.connection, exchange.stop_at);
+        await_end_of_response(exchange.connection, now, exchange.stop_at);
     }
-    const Seconds took = clock_now() - exchange.began;
+    const Seconds took = now - exchange.began;
     if (exchange.request) {
         owner_.attempt_ended(*exchange.request, exchange.number, exchange.endpoint, outcome, took,
                              load, answer);
--- a/src/net/endpoint_pool.hpp
+++ b/src/net/endpoint_pool.hpp
@@ -125,8 +125,8 @@
     void open_connections_for_waiting(const EndpointId& id, Endpoint& endpoint);
     void time_out_exchange(std::uint64_t exchange);
     void recall_waiting_exchanges(Endpoint& endpoint);
-    void await_end_of_response(std::uint64_t connection, Seconds stop_at);
-    void response_end_timed_out(std::uint64_t connection);
+    void await_end_of_response(std::uint64_t connection, Seconds now, Seconds stop_at);
+    void cut_off_response(std::uint64_t connection);
     void close_connection(std::uint64_t connection);
     void reuse_connection(std::uint64_t connection);
 
--- a/src/net/endpoint_pool_connections.cpp
+++ b/src/net/endpoint_pool_connections.cpp
@@ -55,15 +55,15 @@
 // The outcome of an exchange is known at the end of the answer, but its connection is busy until
 // the end of the response. An endpoint may never send that and keep the connection open, so the
 // response has to end by the stop time of its exchange.
-void EndpointPool::await_end_of_response(std::uint64_t number, Seconds stop_at) {
+void EndpointPool::await_end_of_response(std::uint64_t number, Seconds now, Seconds stop_at) {
     PooledConnection& connection = **connections_.find(number);
-    connection.unfinished_since = clock_now();
+    connection.unfinished_since = now;
     unfinished_.push_back(number);
     loop_.timers.cancel(connection.timer);
-    connection.timer = loop_.timers.at(stop_at, [this, number] { response_end_timed_out(number); });
+    connection.timer = loop_.timers.at(stop_at, [this, number] { cut_off_response(number); });
 }
 
-void EndpointPool::response_end_timed_out(std::uint64_t number) {
+void EndpointPool::cut_off_response(std::uint64_t number) {
     ++unfinished_closed_;
     close_connection(number);
 }
@@ -79,8 +79,7 @@
     if (clock_now() - since < kDuplicateAnswerQuietWindow) {
         return false;
     }
-    ++unfinished_closed_;
-    close_connection(oldest);
+    cut_off_response(oldest);
     return true;
 }
 
