--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -77,16 +77,19 @@
             self.member_files[name] = path
         self.sidecars = {}
 
-    def begin(self, discovery, platform, news, known, profile, sockets=1024):
+    def begin(self, discovery, platform, news, known, profile, sockets=1024, but=()):
         for planner in self.planners:
             planner.start()
-        for name, path in self.member_files.items():
-            sidecar = Sidecar(self.record, discovery, platform, news, known, profile, sockets, name,
-                              run_line(), self.folder)
-            os.environ["TIDELINE_FLEET"] = path
-            sidecar.start()
-            del os.environ["TIDELINE_FLEET"]
-            self.sidecars[name] = sidecar
+        for name in self.member_files:
+            self.sidecars[name] = Sidecar(self.record, discovery, platform, news, known, profile, sockets, name,
+                                          run_line(), self.folder)
+            if name not in but:
+                self.start(name)
+
+    def start(self, name):
+        os.environ["TIDELINE_FLEET"] = self.member_files[name]
+        self.sidecars[name].start()
+        del os.environ["TIDELINE_FLEET"]
 
     def ask(self, *arguments):
         done = subprocess.run([os.path.join(ROOT, "build", "tideline"), *arguments], cwd=ROOT, capture_output=True,
