--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -69,15 +69,20 @@
     void answer(std::string_view bytes);
     // Schedules another read from the event loop after `delay` seconds.
     void schedule_read(Seconds delay = 0);
-    // Closes the connection after all pending output has been written.
+    // Closes the connection after all pending output has been written. Nothing more is read: what
+    // crosses the close is reset, so that the client learns that it was not read.
     void end();
-    // Closes the connection with an error because incomplete messages take up too much memory.
-    void reject_partial_message();
+    // Closes the connection with an error, and drops what has been read of an incomplete message.
+    void reject(ClientError error);
     // Returns whether the connection is between two requests, with no unread input and no pending
     // output.
     bool is_idle();
-    bool has_request() const {
-        return request_.has_value();
+    // Returns whether the client owes the next step and has made no progress for `seconds`: a
+    // message is incomplete, or answers are not read. Never true while a request is in flight.
+    bool has_stalled_for(Seconds seconds);
+    // Returns whether input of the client waits in the kernel, or its close.
+    bool has_unread_input() {
+        return !ending_ && peer_closed();
     }
     // Memory in bytes that an incomplete message takes up beyond the initial buffer.
     std::size_t partial_message_bytes() const;
@@ -89,6 +94,9 @@
     void on_received_with_close() override {
         owner_.input_discarded();
     }
+    void on_write_progress() override {
+        progressed_at_ = clock_now();
+    }
     void on_written() override;
     void on_closed() override;
     // While a request is in flight, input beyond the buffer's limit is not read. The client's close
@@ -136,6 +144,7 @@
     std::size_t seen_bytes_ = 0;  // size of the incomplete message at the last check
     Seconds message_began_ = 0;   // the earliest time at which the current message can have begun
     Seconds answered_at_ = 0;     // when the query before was answered
+    Seconds progressed_at_ = 0;   // when the client last sent a byte or took one
     State state_ = State::none;
     Timers::Id state_timer_ = Timers::kNone;
     Timers::Id resume_timer_ = Timers::kNone;
--- a/src/net/client_error.cpp
+++ b/src/net/client_error.cpp
@@ -30,6 +30,8 @@
             return "unknown request class c, or id of a request in flight";
         case ClientError::too_many_partial_messages:
             return "incomplete messages take up too much memory";
+        case ClientError::shutting_down:
+            return "the sidecar is shutting down";
     }
     return "";
 }
@@ -45,6 +47,8 @@
             return "22023";
         case ClientError::too_many_partial_messages:
             return "53200";
+        case ClientError::shutting_down:
+            return "57P03";
         default:
             return "08P01";
     }
--- a/src/net/client_error.hpp
+++ b/src/net/client_error.hpp
@@ -20,6 +20,7 @@
     malformed_budget,
     unknown_class_or_duplicate_id,
     too_many_partial_messages,
+    shutting_down,
 };
 // The message and the SQLSTATE that the client receives.
 std::string_view text_of(ClientError error);
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -125,7 +125,7 @@
         }
     }
     partial_bytes_ -= std::exchange(partial_bytes_by_client_[longest], 0);
-    (*connections_.find(longest))->reject_partial_message();
+    (*connections_.find(longest))->reject(ClientError::too_many_partial_messages);
 }
 
 // Clients that send one query and keep their connection open would use up the descriptors reserved
@@ -169,7 +169,8 @@
     if (clock_now() - since < min_idle) {
         return false;
     }
-    return use != ClientUse::idle || (*connections_.find(client))->is_idle();
+    ClientConnection& connection = **connections_.find(client);
+    return use == ClientUse::idle ? connection.is_idle() : !connection.has_unread_input();
 }
 
 // Closes a connection that is of little use. Without this, clients that send nothing, or only a
@@ -191,8 +192,9 @@
 // Connections that wait in the backlog may already hold a request, so all of them are accepted
 // first. An idle connection with no unread input is closed in both directions: a client whose query
 // crosses the close then learns from the reset that the query was not read. If only one direction
-// were closed, such a query would be read and never answered.
-void ClientListener::shut_down(bool close_stalled) {
+// were closed, such a query would be read and never answered. For the same reason a client that is
+// sending or reading is not cut off, however late it is: each has its own time to make progress.
+void ClientListener::shut_down() {
     if (!shutting_down_) {
         shutting_down_ = true;
         accept_clients();
@@ -202,8 +204,8 @@
     connections_.each([&](std::uint64_t client, auto& connection) {
         if (connection->is_idle()) {
             idle.push_back(ClientId{client});
-        } else if (close_stalled && !connection->has_request()) {
-            connection->end();
+        } else if (connection->has_stalled_for(kStalledClientTimeout)) {
+            connection->reject(ClientError::shutting_down);
         }
     });
     for (const ClientId client : idle) {
--- a/src/net/client_listener.hpp
+++ b/src/net/client_listener.hpp
@@ -47,9 +47,10 @@
     bool close_one_client(Seconds idle_for) {
         return close_one_client(idle_for, ClientUse::silent);
     }
-    // Stops accepting clients and closes each connection as soon as it is between two requests.
-    // With `close_stalled`, also closes connections that have sent only a part of a message.
-    void shut_down(bool close_stalled);
+    // Stops accepting clients and closes each connection that is between two requests, or whose
+    // client has stalled within a message or while it reads answers. Called again and again until
+    // all connections are closed.
+    void shut_down();
     std::size_t size() const {
         return connections_.size();
     }
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -135,7 +135,8 @@
 constexpr Seconds kReadyTimeout = 5;
 // Clients may still connect for up to 0.4 s after SIGTERM; the sidecar serves them for this time.
 constexpr Seconds kShutdownOverlapDuration = 0.45;
-// How long a shutdown waits for the rest of an incomplete message.
+// How long a shutdown waits for a client that sends no more of an incomplete message, or takes no
+// more of an answer.
 constexpr Seconds kStalledClientTimeout = 1;
 // A pass of the event loop that exceeds its expected time by this much means that the process was
 // suspended or had no processor.
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -58,11 +58,8 @@
 }
 
 void Sidecar::shut_down() {
-    if (!shutting_down_) {
-        shutting_down_since_ = clock_now();
-    }
     shutting_down_ = true;
-    clients_.shut_down(clock_now() > shutting_down_since_ + kStalledClientTimeout);
+    clients_.shut_down();
     loop_.timers.at(clock_now() + kClientLingerTimeout / 10, [this] { shut_down(); });
 }
 
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -170,7 +170,6 @@
     bool list_confirmed_ = false;  // the list was confirmed at least once since the start
     bool shutting_down_ = false;
     const bool overlapping_attempts_;
-    Seconds shutting_down_since_ = 0;
     Seconds decided_at_ = 0;  // the time of the latest call to the routing policy
     const Seconds ready_by_;  // from this time on clients are served in any case
     Timers::Id report_timer_ = Timers::kNone;
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -174,6 +174,7 @@
             break;
         }
         out_.drop(static_cast<std::size_t>(sent));
+        on_write_progress();
     }
     if (out_.empty() && finished_) {
         ::shutdown(fd_.get(), SHUT_WR);
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -90,6 +90,8 @@
     virtual bool may_continue_writing() {
         return true;
     }
+    // The socket has accepted a part of the pending output, or all of it.
+    virtual void on_write_progress() {}
     // All pending output has been written.
     virtual void on_written() {}
     // The peer closed the connection, or the connection failed. It is already closed when this is
