--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -20,7 +20,7 @@
 
 ClientConnection::ClientConnection(EventLoop& loop, Owner& owner, ClientRequestHandler& handler,
                                    Seconds longest_time_limit)
-    : TcpConnection(loop, kMaxMessageBytes + kInitialBufferBytes),
+    : TcpConnection(loop, kInitialBufferBytes),
       owner_(owner),
       handler_(handler),
       longest_time_limit_(longest_time_limit) {}
@@ -47,6 +47,7 @@
     put(std::string(bytes) + pg::ready());
     update_state();
     schedule_read();
+    owner_.unread_answer_changed(client_);
 }
 
 // The next query is read from the event loop, not from within this call: the routing policy may
@@ -66,10 +67,6 @@
     return !request_ && !ending_ && in_.empty() && all_written() && !peer_closed();
 }
 
-std::size_t ClientConnection::partial_message_bytes() const {
-    return in_.capacity() > kInitialBufferBytes && !request_ ? in_.capacity() : 0;
-}
-
 void ClientConnection::end() {
     if (std::exchange(ending_, true)) {
         return;
@@ -88,8 +85,8 @@
 }
 
 void ClientConnection::reject(ClientError error) {
-    fail(error);
     in_.drop(in_.size());
+    fail(error);
 }
 
 void ClientConnection::fail(ClientError error) {
@@ -140,6 +137,7 @@
     if (!ending_) {
         update_state();
     }
+    owner_.unread_answer_changed(client_);
 }
 
 void ClientConnection::on_closed() {
@@ -190,8 +188,7 @@
     if (closed()) {
         return;
     }
-    // While a request is in flight, further input stays in the kernel's buffer.
-    in_.set_max_bytes(request_ ? kInitialBufferBytes : kMaxMessageBytes + kInitialBufferBytes);
+    in_.set_max_bytes(max_input_bytes());
     const State state = current_state();
     if (state == state_) {
         return;
@@ -202,6 +199,18 @@
     start_state_timeout(state);
 }
 
+// No more is read than the initial buffer holds, or the first message if that is longer: what
+// follows it stays in the kernel's buffer, also while a request is in flight.
+std::size_t ClientConnection::max_input_bytes() {
+    if (request_ || in_.empty()) {
+        return kInitialBufferBytes;
+    }
+    const std::size_t stated =
+        started_ ? pg::stated_size(in_.all()) : pg::stated_startup_size(in_.all());
+    const std::size_t largest = started_ ? kMaxMessageBytes + 1 : kMaxStartupBytes;
+    return std::max(kInitialBufferBytes, std::min(stated, largest));
+}
+
 void ClientConnection::start_state_timeout(State state) {
     if (state == State::awaiting_startup) {
         fail_after(kStartupMessageTimeout, ClientError::no_startup_message);
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -44,8 +44,10 @@
         virtual bool shutting_down() const = 0;
         virtual void use_changed(ClientId client, ClientUse use) = 0;
         virtual void became_idle() = 0;
-        // Called whenever the memory that an incomplete message takes up may have changed.
+        // Called whenever the memory that an incomplete message or an unread answer takes up may
+        // have changed. May end this connection or others.
         virtual void partial_message_changed(ClientId client) = 0;
+        virtual void unread_answer_changed(ClientId client) = 0;
         virtual void connection_rejected(ClientError error) = 0;
         // Input was discarded because the client had closed the connection behind it.
         virtual void input_discarded() = 0;
@@ -84,8 +86,15 @@
     bool has_unread_input() {
         return !ending_ && peer_closed();
     }
-    // Memory in bytes that an incomplete message takes up beyond the initial buffer.
-    std::size_t partial_message_bytes() const;
+    // Memory in bytes that an incomplete message takes up; 0 while it fits the initial buffer.
+    std::size_t partial_message_bytes() const {
+        return in_.capacity() > kInitialBufferBytes ? in_.capacity() : 0;
+    }
+    // Memory in bytes that answers which the client has not taken take up; 0 while they fit the
+    // initial buffer.
+    std::size_t unread_answer_bytes() const {
+        return out_.capacity() > kInitialBufferBytes ? out_.capacity() : 0;
+    }
 
   protected:
     void on_received() override;
@@ -120,6 +129,7 @@
     State current_state() const;
     static ClientUse use_in_state(State state);
     void update_state();
+    std::size_t max_input_bytes();
     void start_state_timeout(State state);
     void fail_after(Seconds delay, ClientError error);
     void fail(ClientError error);
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -3,6 +3,7 @@
 #include <fmt/core.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 #include <vector>
@@ -11,8 +12,12 @@
 
 namespace tideline::net {
 
-ClientListener::ClientListener(EventLoop& loop, Owner& owner, Seconds longest_time_limit)
-    : loop_(loop), owner_(owner), longest_time_limit_(longest_time_limit) {}
+ClientListener::ClientListener(EventLoop& loop, Owner& owner, Seconds longest_time_limit,
+                               const MemoryLimits& memory_limits)
+    : loop_(loop),
+      owner_(owner),
+      longest_time_limit_(longest_time_limit),
+      memory_limits_(memory_limits) {}
 ClientListener::~ClientListener() {
     loop_.timers.cancel(close_idle_timer_);
     stop_listening();
@@ -100,32 +105,48 @@
     connections_.each([](std::uint64_t, auto& connection) { connection->schedule_read(); });
 }
 
-// Limits the memory of incomplete messages: hundreds of clients that each send all but the last
-// byte of a statement of the largest size would exceed the memory limit of the process.
+// Limits the memory of what clients leave undone: hundreds of them that each send all but the last
+// byte of a statement of the largest size, or that take no answers, would exceed the memory limit
+// of the process.
 void ClientListener::partial_message_changed(ClientId client) {
     if (auto* connection = connections_.find(client.value)) {
-        const std::size_t bytes = (*connection)->partial_message_bytes();
-        partial_bytes_ += bytes - partial_bytes_by_client_[client.value];
-        partial_bytes_by_client_[client.value] = bytes;
+        partial_messages_.set(client, (*connection)->partial_message_bytes());
     }
-    while (partial_bytes_ > kMaxPartialMessageBytes) {
+    while (partial_messages_.total() > memory_limits_.partial_messages) {
         reject_longest_partial_message();
     }
 }
 
-// Rejects the client whose message has been incomplete for the longest time.
-void ClientListener::reject_longest_partial_message() {
-    std::uint64_t longest = 0;
-    for (const auto& [client, bytes] : partial_bytes_by_client_) {
-        if (bytes == 0) {
-            continue;
-        }
-        if (longest == 0 || uses_.since({client}) < uses_.since({longest})) {
-            longest = client;
-        }
+void ClientListener::unread_answer_changed(ClientId client) {
+    if (auto* connection = connections_.find(client.value)) {
+        unread_answers_.set(client, (*connection)->unread_answer_bytes());
+    }
+    while (unread_answers_.total() > memory_limits_.unread_answers) {
+        close_longest_unread();
     }
-    partial_bytes_ -= std::exchange(partial_bytes_by_client_[longest], 0);
-    (*connections_.find(longest))->reject(ClientError::too_many_partial_messages);
+}
+
+// Returns the client in the table that has been in its state for the longest time: one that makes
+// progress enters its state anew.
+ClientId ClientListener::longest_unchanged(const ClientMemoryTable& table) const {
+    const auto longest = std::min_element(
+        table.clients().begin(), table.clients().end(), [this](const auto& one, const auto& other) {
+            return uses_.since(one.first) < uses_.since(other.first);
+        });
+    return longest->first;
+}
+
+void ClientListener::reject_longest_partial_message() {
+    const ClientId longest = longest_unchanged(partial_messages_);
+    partial_messages_.erase(longest);
+    (*connections_.find(longest.value))->reject(ClientError::too_many_partial_messages);
+}
+
+// The client can't be told: what it would have to read first is the answer that it does not take.
+void ClientListener::close_longest_unread() {
+    const ClientId longest = longest_unchanged(unread_answers_);
+    connection_rejected(ClientError::answers_not_read);
+    remove(longest);
 }
 
 // Clients that send one query and keep their connection open would use up the descriptors reserved
@@ -148,10 +169,11 @@
 std::string ClientListener::report() const {
     std::string text = fmt::format(
         "clients={} clients_silent={} clients_partial_message={} clients_idle={} "
-        "clients_closed_for_room={} clients_closed_behind_input={} clients_accept_pauses={}",
+        "clients_closed_for_room={} clients_closed_behind_input={} clients_accept_pauses={} "
+        "partial_message_bytes={} unread_answer_bytes={}",
         connections_.size(), uses_.count(ClientUse::silent),
         uses_.count(ClientUse::partial_message), uses_.count(ClientUse::idle), closed_for_room_,
-        closed_behind_input_, accept_pauses_);
+        closed_behind_input_, accept_pauses_, partial_messages_.total(), unread_answers_.total());
     for (const auto& [error, times] : rejections_by_error_) {
         text += fmt::format(" clients_turned_away[{}]={}", text_of(error), times);
     }
@@ -219,8 +241,8 @@
         return;
     }
     uses_.erase(client);
-    partial_bytes_ -= partial_bytes_by_client_[client.value];
-    partial_bytes_by_client_.erase(client.value);
+    partial_messages_.erase(client);
+    unread_answers_.erase(client);
     (*connection)->close();
     loop_.destroy_after_pass(std::move(*connection));
     connections_.remove(client.value);
--- a/src/net/client_listener.hpp
+++ b/src/net/client_listener.hpp
@@ -7,8 +7,10 @@
 #include <string>
 
 #include "net/client_connection.hpp"
+#include "net/client_memory_table.hpp"
 #include "net/client_use_table.hpp"
 #include "net/file_descriptor.hpp"
+#include "net/memory_limits.hpp"
 #include "net/slots.hpp"
 
 namespace tideline::net {
@@ -27,11 +29,15 @@
 
     // `longest_time_limit` is the largest time limit of all request classes, in seconds: no client
     // waits longer than that. `owner` must outlive the listener.
-    ClientListener(EventLoop& loop, Owner& owner, Seconds longest_time_limit);
+    ClientListener(EventLoop& loop, Owner& owner, Seconds longest_time_limit,
+                   const MemoryLimits& memory_limits);
     ~ClientListener() override;
     ClientListener(const ClientListener&) = delete;
     ClientListener& operator=(const ClientListener&) = delete;
 
+    void set_memory_limits(const MemoryLimits& limits) {
+        memory_limits_ = limits;
+    }
     // Starts to listen. Returns false, with errno set, if the address can't be listened at.
     bool listen(const Address& address);
     // Writes the complete answer to the request that the client waits for; `bytes` does not include
@@ -70,6 +76,7 @@
         close_excess_idle_later();
     }
     void partial_message_changed(ClientId client) override;
+    void unread_answer_changed(ClientId client) override;
     void connection_rejected(ClientError error) override {
         ++rejections_by_error_[error];
     }
@@ -82,6 +89,8 @@
     bool can_close(const ClientUseTable::Candidate& candidate, Seconds idle_for);
     void close_excess_idle_later();
     void reject_longest_partial_message();
+    void close_longest_unread();
+    ClientId longest_unchanged(const ClientMemoryTable& table) const;
     void accept_clients();
     bool accept_client();
     void pause_accepting();
@@ -92,9 +101,9 @@
     const Seconds longest_time_limit_;
     Slots<std::unique_ptr<ClientConnection>> connections_;
     ClientUseTable uses_;
-    // Size of each client's incomplete message, in bytes.
-    std::map<std::uint64_t, std::size_t> partial_bytes_by_client_;
-    std::size_t partial_bytes_ = 0;  // sum over all clients
+    MemoryLimits memory_limits_;
+    ClientMemoryTable partial_messages_;
+    ClientMemoryTable unread_answers_;
     std::map<ClientError, long> rejections_by_error_;
     long closed_for_room_ = 0;
     long closed_behind_input_ = 0;  // clients whose close was read together with their last input
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -32,8 +32,6 @@
 // Maximum number of messages of one client handled in one pass of the event loop, so that no client
 // starves the others.
 constexpr int kMaxMessagesPerPass = 16;
-// Maximum total size of the incomplete messages of all clients. The process may use 32 MB.
-constexpr std::size_t kMaxPartialMessageBytes = 4 * 1024 * 1024;
 // Maximum size of the head of an HTTP response.
 constexpr std::size_t kMaxHttpHeadBytes = 16 * 1024;
 // Maximum length of the line that states the size of an HTTP chunk.
--- a/src/net/open_requests.hpp
+++ b/src/net/open_requests.hpp
@@ -44,6 +44,7 @@
         return ids_.emplace(id).second;
     }
     RequestId add(OpenRequest request) {
+        statement_bytes_ += request.statement.size();
         const RequestId number{requests_.add(std::move(request))};
         peak_ = std::max(peak_, requests_.size());
         return number;
@@ -62,8 +63,15 @@
         ids_.erase(request.id);
     }
     void remove(RequestId request) {
+        if (const OpenRequest* found = find(request)) {
+            statement_bytes_ -= found->statement.size();
+        }
         requests_.remove(request.value);
     }
+    // Sum of the sizes of all statements in the table, in bytes.
+    std::size_t statement_bytes() const {
+        return statement_bytes_;
+    }
     std::size_t size() const {
         return requests_.size();
     }
@@ -75,6 +83,7 @@
     Slots<OpenRequest> requests_;
     std::set<std::string, std::less<>> ids_;  // ids of the requests that are not concluded
     std::size_t peak_ = 0;
+    std::size_t statement_bytes_ = 0;
 };
 
 }  // namespace tideline::net
--- a/src/net/postgres_protocol.cpp
+++ b/src/net/postgres_protocol.cpp
@@ -147,6 +147,13 @@
     return Read::whole;
 }
 
+std::size_t stated_size(std::string_view bytes) {
+    return bytes.size() < 5 ? 0 : std::size_t{read_uint32(bytes.substr(1))} + 1;
+}
+std::size_t stated_startup_size(std::string_view bytes) {
+    return bytes.size() < 4 ? 0 : read_uint32(bytes);
+}
+
 std::string message(char type, std::string_view body) {
     std::string bytes(1, type);
     bytes += encode_integer(body.size() + 4);
--- a/src/net/postgres_protocol.hpp
+++ b/src/net/postgres_protocol.hpp
@@ -29,6 +29,11 @@
 Read next_startup(std::string_view bytes, std::uint32_t& code, std::string_view& body,
                   std::size_t& message_size);
 
+// Returns the total size of the first message as far as its head has been received: what its length
+// states, or 0 if that is still missing.
+std::size_t stated_size(std::string_view bytes);
+std::size_t stated_startup_size(std::string_view bytes);
+
 std::string startup(std::string_view user, std::string_view database);
 std::string message(char type, std::string_view body);
 std::string query(std::string_view text);
--- a/src/net/ring_buffer.hpp
+++ b/src/net/ring_buffer.hpp
@@ -54,6 +54,10 @@
         if (size_ >= max_bytes_ || bytes.size() > max_bytes_ - size_) {
             return false;
         }
+        if (size_ + bytes.size() > storage_.size()) {
+            resize(std::min(max_bytes_, std::max({kInitialBufferBytes, size_ + bytes.size(),
+                                                  2 * storage_.size()})));
+        }
         while (!bytes.empty()) {
             const auto free_bytes = free_space();
             const std::size_t part_size = std::min(free_bytes.size(), bytes.size());
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -23,11 +23,12 @@
       name_(config.name),
       listen_address_(config.listen),
       max_descriptors_(allowed_descriptors(config.max_descriptors)),
+      memory_limits_(memory_limits_of(config.max_memory_bytes)),
       request_classes_(request_classes_of(settings_)),
       tenants_(tenants_of(settings_)),
       guarded_effects_(effect_guard ? guarded_effects_of(settings_, request_classes_)
                                     : std::map<RequestClass, Effect>{}),
-      clients_(loop, *this, longest_time_limit(settings_)),
+      clients_(loop, *this, longest_time_limit(settings_), memory_limits_),
       endpoints_(loop, *this, config.required_number("allowed.connect_time"),
                  config.required_number("allowed.keep_idle")),
       discovery_(loop, *this, settings_, config.discovery, config.initial_endpoint_list),
@@ -67,6 +68,8 @@
     discovery_.move(new_config.discovery, since);
     platform_.move(new_config.platform);
     max_descriptors_ = allowed_descriptors(new_config.max_descriptors);
+    memory_limits_ = memory_limits_of(new_config.max_memory_bytes);
+    clients_.set_memory_limits(memory_limits_);
     log_.line("configuration reloaded: descriptors={}", max_descriptors_);
     std::string needs_restart;
     if (new_config.name != name_) {
@@ -227,11 +230,21 @@
 
 void Sidecar::request_admitted(RequestId request) {
     const OpenRequest& open = *requests_.find(request);
+    if (!has_memory_for(open)) {
+        ++counters_.rejected_for_memory;
+        return reject(request, 0);
+    }
     const Seconds now = decision_time();
     policy_->request_arrived(now, request, open.request_class, open.tenant, open.key,
                              open.deadline - now, std::nullopt);
 }
 
+// Small requests are always served: together they take up little.
+bool Sidecar::has_memory_for(const OpenRequest& open) const {
+    return open.statement.size() <= kInitialBufferBytes ||
+           requests_.statement_bytes() <= memory_limits_.statements;
+}
+
 void Sidecar::client_disconnected(RequestId request) {
     OpenRequest* open = requests_.find(request);
     if (!open || open->concluded) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -138,6 +138,7 @@
     std::optional<GuardedAttempt> take_guarded_attempt(RequestId request);
     void end_unsent_attempt(RequestId request, const GuardedAttempt& attempt, bool concluded);
     bool make_room_below(std::size_t descriptors);
+    bool has_memory_for(const OpenRequest& open) const;
     void conclude(RequestId request, std::string_view answer);
     // Removes the request if it is concluded and none of its attempts is in flight.
     void forget_if_done(RequestId request);
@@ -155,6 +156,7 @@
     const std::string name_;
     const Address listen_address_;
     std::size_t max_descriptors_;
+    MemoryLimits memory_limits_;
     const RequestClassesByName request_classes_;
     const TenantsByName tenants_;
     // Effects of the request classes that must not take effect twice; empty without a guard.
--- a/src/net/sidecar_config.cpp
+++ b/src/net/sidecar_config.cpp
@@ -17,6 +17,8 @@
 using nlohmann::json;
 
 constexpr int kHexBase = 16;
+constexpr double kBytesPerMegabyte = 1024 * 1024;
+constexpr double kMaxMemoryMegabytes = 1e9;
 constexpr Seconds kMaxDuration = 1e9;  // upper limit of the settings that are durations
 
 // Quotes the value of a field for an error message: escapes it, so that the message stays on one
@@ -52,6 +54,17 @@
     return seed;
 }
 
+// Returns the memory limit of the process in bytes; 0 if there is none.
+std::size_t optional_memory(const json& root) {
+    const json::json_pointer memory("/limits/memory_mb");
+    if (!root.contains(memory) || !root[memory].is_number()) {
+        return 0;
+    }
+    const double megabytes = root[memory].get<double>();
+    const bool usable = megabytes > 0 && megabytes < kMaxMemoryMegabytes;
+    return usable ? static_cast<std::size_t>(megabytes * kBytesPerMegabyte) : 0;
+}
+
 // A host that ignores every decision, for a routing policy that is constructed only to validate its
 // settings.
 class NullHost : public Host {
@@ -105,6 +118,7 @@
     if (root.contains(sockets) && root[sockets].is_number_unsigned()) {
         config.max_descriptors = root[sockets].get<std::size_t>();
     }
+    config.max_memory_bytes = optional_memory(root);
     config.initial_endpoint_list = root.value("known", json::object());
     config.initial_release_state = root["deployer"].value("news", json());
     if (!root.contains("settings") || !root["settings"].is_object()) {
--- a/src/net/sidecar_config.hpp
+++ b/src/net/sidecar_config.hpp
@@ -17,7 +17,8 @@
     Address discovery;
     Address platform;
     std::uint64_t seed = 0;
-    std::size_t max_descriptors = 0;  // 0 if the configuration sets no limit
+    std::size_t max_descriptors = 0;   // 0 if the configuration sets no limit
+    std::size_t max_memory_bytes = 0;  // 0 if the configuration sets no limit
     nlohmann::json initial_endpoint_list;
     nlohmann::json initial_release_state;
     Settings settings;
--- a/src/net/sidecar_counters.hpp
+++ b/src/net/sidecar_counters.hpp
@@ -13,6 +13,7 @@
     long admitted = 0;
     long admitted_late = 0;  // admitted long after their arrival
     long rejected = 0;
+    long rejected_for_memory = 0;  // of these, because open statements take up too much memory
     long failed = 0;
     long answered_late = 0;  // answered by the sidecar itself, after the deadline
     long abandoned = 0;      // the client disconnected before the answer
--- a/src/net/sidecar_updates.cpp
+++ b/src/net/sidecar_updates.cpp
@@ -126,9 +126,10 @@
 void Sidecar::report() {
     log_.line(
         "request counters: admitted={} admitted_late={} open={} open_peak={} rejected={} failed={} "
-        "answered_late={} abandoned={}",
+        "answered_late={} abandoned={} rejected_for_memory={} statement_bytes={}",
         counters_.admitted, counters_.admitted_late, requests_.size(), requests_.peak(),
-        counters_.rejected, counters_.failed, counters_.answered_late, counters_.abandoned);
+        counters_.rejected, counters_.failed, counters_.answered_late, counters_.abandoned,
+        counters_.rejected_for_memory, requests_.statement_bytes());
     log_.line(
         "attempt counters: {} recalled={} retries={} withheld_after_close={} "
         "decided_again={} written_late={} send_delay_max_ms={:.1f}",
