--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -51,13 +51,13 @@
 }
 
 // The next query is read from the event loop, not from within this call: the routing policy may
-// answer within its own call, and reading here would enter it recursively. With a delay, a client
-// that sends hundreds of messages at once does not starve the others.
-void ClientConnection::schedule_read(Seconds delay) {
+// answer within its own call, and reading here would enter it recursively. The pace holds however
+// the reading was scheduled: an answer that is given at once schedules it too.
+void ClientConnection::schedule_read() {
     if (resume_timer_ != Timers::kNone) {
         return;
     }
-    resume_timer_ = loop_.timers.at(delay > 0 ? clock_now() + delay : 0, [this] {
+    resume_timer_ = loop_.timers.at(pacer_.next_at(), [this] {
         resume_timer_ = Timers::kNone;
         receive_again();
     });
@@ -101,14 +101,17 @@
 
 void ClientConnection::on_received() {
     const std::size_t arrived_bytes = in_.size();
-    for (int i = 0; !ending_ && !request_ && !closed() && !in_.empty() && all_written(); ++i) {
-        if (i == kMaxMessagesPerPass) {
-            schedule_read(kNextMessagesDelay);
+    const Seconds began = clock_now();
+    while (!ending_ && !request_ && !closed() && !in_.empty() && all_written()) {
+        if (!pacer_.allows(began)) {
+            loop_.timers.cancel(resume_timer_);  // may be due in this pass
+            schedule_read();
             break;
         }
         if (!(started_ ? read_message() : read_startup())) {
             break;
         }
+        pacer_.message_handled();
         state_ = State::none;  // restarts the time limit of the state for the next message
         message_began_ = clock_now();
     }
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -7,6 +7,7 @@
 
 #include "net/client_error.hpp"
 #include "net/client_query.hpp"
+#include "net/message_pacer.hpp"
 #include "net/tcp_connection.hpp"
 
 namespace tideline::net {
@@ -69,8 +70,9 @@
     // Writes the complete answer to the request in flight and adds the ReadyForQuery message, which
     // `bytes` does not include.
     void answer(std::string_view bytes);
-    // Schedules another read from the event loop after `delay` seconds.
-    void schedule_read(Seconds delay = 0);
+    // Schedules another look at the input from the event loop, in this pass or, if enough messages
+    // of this client have been handled for now, later.
+    void schedule_read();
     // Closes the connection after all pending output has been written. Nothing more is read: what
     // crosses the close is reset, so that the client learns that it was not read.
     void end();
@@ -151,6 +153,7 @@
     bool failed_ = false;
     bool awaiting_readiness_ = false;  // an empty query is held back until the sidecar can serve
     int encryption_requests_ = 0;
+    MessagePacer pacer_;
     std::size_t seen_bytes_ = 0;  // size of the incomplete message at the last check
     Seconds message_began_ = 0;   // the earliest time at which the current message can have begun
     Seconds answered_at_ = 0;     // when the query before was answered
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -84,7 +84,7 @@
     if (resume_accepting_timer_ != Timers::kNone) {
         return;
     }
-    resume_accepting_timer_ = loop_.timers.at(clock_now() + kInitialReconnectBackoff / 4, [this] {
+    resume_accepting_timer_ = loop_.timers.at(clock_now() + kAcceptPause, [this] {
         resume_accepting_timer_ = Timers::kNone;
         loop_.set_events(listening_.get(), POLLIN);
     });
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -29,9 +29,9 @@
 // Maximum number of bytes read from a connection in one pass of the event loop, so that no peer
 // starves the others.
 constexpr std::size_t kMaxReadBytesPerPass = 16 * 1024;
-// Maximum number of messages of one client handled in one pass of the event loop, so that no client
+// Maximum number of messages of one client handled in each kMessageBurstInterval, so that no client
 // starves the others.
-constexpr int kMaxMessagesPerPass = 16;
+constexpr int kMaxMessagesPerBurst = 16;
 // Maximum size of the head of an HTTP response.
 constexpr std::size_t kMaxHttpHeadBytes = 16 * 1024;
 // Maximum length of the line that states the size of an HTTP chunk.
@@ -124,8 +124,11 @@
 // Time that a well-behaved client needs at most to send its startup message. No connection is
 // closed earlier to make room.
 constexpr Seconds kClientSettleDelay = 0.05;
-// Delay before further messages of the same client are read, so that others are served in between.
-constexpr Seconds kNextMessagesDelay = 0.001;
+// Interval in which kMaxMessagesPerBurst messages of a client may be handled; others are served in
+// between.
+constexpr Seconds kMessageBurstInterval = 0.001;
+// Pause before connections are accepted again after no descriptor was left.
+constexpr Seconds kAcceptPause = 0.05;
 
 // --- Process
 
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -65,7 +65,7 @@
     // would spin.
     void pause() {
         loop_.set_events(socket_.get(), 0);
-        resume_timer_ = loop_.timers.at(clock_now() + 50 * kNextMessagesDelay, [this] {
+        resume_timer_ = loop_.timers.at(clock_now() + kAcceptPause, [this] {
             resume_timer_ = Timers::kNone;
             if (socket_.valid()) {
                 loop_.set_events(socket_.get(), POLLIN);
