--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -246,6 +246,7 @@
     (*connection)->close();
     loop_.destroy_after_pass(std::move(*connection));
     connections_.remove(client.value);
+    owner_.connection_ended(client);
 }
 
 }  // namespace tideline::net
--- a/src/net/client_listener.hpp
+++ b/src/net/client_listener.hpp
@@ -25,6 +25,8 @@
         virtual bool has_room_for_client() = 0;
         // Maximum number of idle client connections.
         virtual long max_idle_clients() = 0;
+        // The connection has ended, whoever ended it.
+        virtual void connection_ended(ClientId client) = 0;
     };
 
     // `longest_time_limit` is the largest time limit of all request classes, in seconds: no client
@@ -46,6 +48,10 @@
     // Asks the kernel whether the client's connection is still open. If the client has closed it,
     // client_disconnected() follows from the event loop.
     bool is_connected(ClientId client);
+    // Returns whether the connection has not ended as far as this process has noticed.
+    bool has_client(ClientId client) {
+        return connections_.find(client.value) != nullptr;
+    }
     // Resumes reading from clients whose queries waited until this sidecar could serve.
     void resume_waiting_clients();
     // Closes one connection to make room: one that is silent or stuck in an incomplete message, or
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -130,6 +130,12 @@
 // Pause before connections are accepted again after no descriptor was left.
 constexpr Seconds kAcceptPause = 0.05;
 
+// Time for which the id of a request that may have run is not used again after its client has
+// disconnected. Longer than any client waits for an answer.
+constexpr Seconds kRepeatedIdWindow = 60;
+// Maximum number of such ids; the oldest is forgotten first.
+constexpr std::size_t kMaxRememberedIds = 32'768;
+
 // --- Process
 
 // Time after which the sidecar serves clients even without a confirmed endpoint list.
--- a/src/net/open_requests.hpp
+++ b/src/net/open_requests.hpp
@@ -5,11 +5,11 @@
 #include <algorithm>
 #include <cstddef>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 
 #include "net/client_connection.hpp"
+#include "net/request_id_table.hpp"
 #include "net/slots.hpp"
 #include "policy/records.hpp"
 
@@ -17,7 +17,7 @@
 
 struct OpenRequest {
     ClientId client;
-    std::string id;                 // the id that the client gave
+    RequestIdDigest id = 0;         // the id that the client gave
     std::string statement;          // the text that the client sent
     std::size_t budget_offset = 0;  // offset of the time budget in the statement
     std::size_t budget_size = 0;
@@ -27,7 +27,9 @@
     Seconds deadline = 0;
     int attempts = 0;  // number of attempts made so far
     int attempts_in_flight = 0;
-    bool concluded = false;  // the request was answered, or its client has disconnected
+    bool concluded = false;     // the request was answered, or its client has disconnected
+    bool abandoned = false;     // its client disconnected before it was answered
+    bool may_have_run = false;  // by the outcomes of its attempts so far
     // Always idempotent if there is no duplicate-effect guard.
     Effect effect = Effect::idempotent;
     // Set only if the effect is not idempotent.
@@ -37,12 +39,6 @@
 
 class OpenRequests {
   public:
-    // Reserves the id until the request is concluded. Returns false if another open request has it.
-    // An endpoint may answer a repeated id with the result of the first request, so no two open
-    // requests may share an id.
-    bool reserve_id(std::string_view id) {
-        return ids_.emplace(id).second;
-    }
     RequestId add(OpenRequest request) {
         statement_bytes_ += request.statement.size();
         const RequestId number{requests_.add(std::move(request))};
@@ -58,10 +54,6 @@
         OpenRequest* found = find(request);
         return found && !found->concluded && found->attempts_in_flight == 0 ? found : nullptr;
     }
-    void conclude(OpenRequest& request) {
-        request.concluded = true;
-        ids_.erase(request.id);
-    }
     void remove(RequestId request) {
         if (const OpenRequest* found = find(request)) {
             statement_bytes_ -= found->statement.size();
@@ -81,7 +73,6 @@
 
   private:
     Slots<OpenRequest> requests_;
-    std::set<std::string, std::less<>> ids_;  // ids of the requests that are not concluded
     std::size_t peak_ = 0;
     std::size_t statement_bytes_ = 0;
 };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -119,7 +119,7 @@
                          "one final answer for each request")) {
         return;
     }
-    requests_.conclude(*open);
+    open->concluded = true;
     counters_.answered_late += clock_now() > open->deadline + kAnswerWriteMargin ? 1 : 0;
     clients_.answer(open->client, answer);
     forget_if_done(request);
@@ -203,13 +203,17 @@
 std::optional<RequestId> Sidecar::admit(ClientId client, const ClientQuery& query,
                                         Seconds arrived_at) {
     const auto request_class = request_classes_.find(query.request_class);
-    if (request_class == request_classes_.end() || !requests_.reserve_id(query.id)) {
+    if (request_class == request_classes_.end()) {
+        return std::nullopt;
+    }
+    const auto id = request_ids_.reserve(client, query.id, clock_now());
+    if (!id) {
         return std::nullopt;
     }
     const auto tenant = tenants_.find(query.tenant);
     OpenRequest open;
     open.client = client;
-    open.id = query.id;
+    open.id = *id;
     open.statement = query.statement;
     open.budget_offset = query.budget_offset;
     open.budget_size = query.budget_size;
@@ -251,7 +255,8 @@
         return;
     }
     ++counters_.abandoned;
-    requests_.conclude(*open);
+    open->concluded = true;
+    open->abandoned = true;
     policy_->request_abandoned(decision_time(), request);
     endpoints_.withdraw_undelivered(request);
     if (const auto attempt = take_guarded_attempt(request)) {
@@ -268,9 +273,25 @@
     if (open->effect != Effect::idempotent) {
         effect_guard_->request_ended(request);
     }
+    settle_id(*open);
     requests_.remove(request);
 }
 
+// No attempt of the request is in flight any more, so it is known whether it may have run.
+void Sidecar::settle_id(const OpenRequest& open) {
+    if (!open.may_have_run) {
+        request_ids_.release(open.id);
+    } else if (open.abandoned || !clients_.has_client(open.client)) {
+        request_ids_.remember(open.id, clock_now());
+    } else {
+        request_ids_.answered(open.id, open.client);
+    }
+}
+
+void Sidecar::connection_ended(ClientId client) {
+    request_ids_.client_disconnected(client, clock_now());
+}
+
 // --- Endpoints
 
 // Returns the client's statement with its time budget replaced by the time that is left.
@@ -319,11 +340,12 @@
     }
     --open->attempts_in_flight;
     ++counters_.outcomes[outcome];
+    open->may_have_run = open->may_have_run || may_have_run(outcome);
     if (open->effect != Effect::idempotent) {
         effect_guard_->attempt_ended(request, number, outcome, answer);
     }
     if (outcome == Outcome::succeeded && !open->concluded) {
-        requests_.conclude(*open);
+        open->concluded = true;
         clients_.answer(open->client, answer);
     }
     policy_->attempt_ended(decision_time(), request, number, endpoint, outcome, took,
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -95,6 +95,7 @@
     // ClientListener::Owner
     bool can_serve() override;
     long max_idle_clients() override;
+    void connection_ended(ClientId client) override;
     bool has_room_for_client() override;
     std::optional<RequestId> admit(ClientId client, const ClientQuery& query,
                                    Seconds arrived_at) override;
@@ -140,6 +141,7 @@
     bool make_room_below(std::size_t descriptors);
     bool has_memory_for(const OpenRequest& open) const;
     void conclude(RequestId request, std::string_view answer);
+    void settle_id(const OpenRequest& open);
     // Removes the request if it is concluded and none of its attempts is in flight.
     void forget_if_done(RequestId request);
     void report_periodically();
@@ -163,6 +165,7 @@
     const std::map<RequestClass, Effect> guarded_effects_;
     std::map<RequestId, GuardedAttempt> guarded_attempts_;
     OpenRequests requests_;
+    RequestIdTable request_ids_;
     ClientListener clients_;
     EndpointPool endpoints_;
     DiscoveryClient discovery_;
--- a/src/net/sidecar_updates.cpp
+++ b/src/net/sidecar_updates.cpp
@@ -126,10 +126,12 @@
 void Sidecar::report() {
     log_.line(
         "request counters: admitted={} admitted_late={} open={} open_peak={} rejected={} failed={} "
-        "answered_late={} abandoned={} rejected_for_memory={} statement_bytes={}",
+        "answered_late={} abandoned={} rejected_for_memory={} statement_bytes={} "
+        "ids_remembered={}",
         counters_.admitted, counters_.admitted_late, requests_.size(), requests_.peak(),
         counters_.rejected, counters_.failed, counters_.answered_late, counters_.abandoned,
-        counters_.rejected_for_memory, requests_.statement_bytes());
+        counters_.rejected_for_memory, requests_.statement_bytes(),
+        request_ids_.remembered_count());
     log_.line(
         "attempt counters: {} recalled={} retries={} withheld_after_close={} "
         "decided_again={} written_late={} send_delay_max_ms={:.1f}",
--- a/src/policy/request_router.cpp
+++ b/src/policy/request_router.cpp
@@ -3,15 +3,6 @@
 #include <utility>
 
 namespace tideline {
-namespace {
-
-// Whether the endpoint may have started to run an attempt that ended with this outcome.
-bool may_have_run(Outcome outcome) {
-    return outcome != Outcome::overloaded && outcome != Outcome::unreachable &&
-           outcome != Outcome::never_sent;
-}
-
-}  // namespace
 
 void RequestRouter::request_arrived(Seconds now, const NewRequest& request) {
     if (!modules_.settings.knows(request.request_class)) {
--- a/src/policy/types.hpp
+++ b/src/policy/types.hpp
@@ -47,6 +47,11 @@
     cancelled,
     never_sent
 };
+// Returns whether the endpoint may have started to run an attempt that ended with this outcome.
+constexpr bool may_have_run(Outcome outcome) {
+    return outcome != Outcome::overloaded && outcome != Outcome::unreachable &&
+           outcome != Outcome::never_sent;
+}
 enum class EndpointState { ready, draining, removed };
 // Which endpoints a list holds: those that changed, all of them, or all as cached at an unknown
 // time.
--- a/tests/net/flooding_client_test.cpp
+++ b/tests/net/flooding_client_test.cpp
@@ -18,6 +18,7 @@
     long max_idle_clients() override {
         return 100;
     }
+    void connection_ended(ClientId) override {}
     bool can_serve() override {
         return true;
     }
