--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -35,6 +35,8 @@
     virtual void client_disconnected(RequestId request) = 0;
 };
 
+// The member functions are defined in two files: client_connection.cpp (messages and answers) and
+// client_connection_state.cpp (states and their time limits).
 class ClientConnection : public TcpConnection {
   public:
     // The owner of all client connections and of the limits that they share. Called only from the
