--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -83,9 +83,16 @@
     // Returns whether the connection is between two requests, with no unread input and no pending
     // output.
     bool is_idle();
+    bool has_request() const {
+        return request_.has_value();
+    }
     // Returns whether the client owes the next step and has made no progress for `seconds`: a
     // message is incomplete, or answers are not read. Never true while a request is in flight.
     bool has_stalled_for(Seconds seconds);
+    // When the client last sent a byte or took one.
+    Seconds progressed_at() const {
+        return progressed_at_;
+    }
     // Returns whether input of the client waits in the kernel, or its close.
     bool has_unread_input() {
         return !ending_ && peer_closed();
@@ -159,7 +166,7 @@
     std::size_t seen_bytes_ = 0;  // size of the incomplete message at the last check
     Seconds message_began_ = 0;   // the earliest time at which the current message can have begun
     Seconds answered_at_ = 0;     // when the query before was answered
-    Seconds progressed_at_ = 0;   // when the client last sent a byte or took one
+    Seconds progressed_at_ = 0;   // see progressed_at()
     State state_ = State::none;
     Timers::Id state_timer_ = Timers::kNone;
     Timers::Id resume_timer_ = Timers::kNone;
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -126,25 +126,27 @@
     }
 }
 
-// Returns the client in the table that has been in its state for the longest time: one that makes
-// progress enters its state anew.
-ClientId ClientListener::longest_unchanged(const ClientMemoryTable& table) const {
+// Returns the client in the table that has made no progress for the longest time.
+ClientId ClientListener::longest_stalled(const ClientMemoryTable& table) {
+    const auto progressed_at = [this](ClientId client) {
+        return (*connections_.find(client.value))->progressed_at();
+    };
     const auto longest = std::min_element(
-        table.clients().begin(), table.clients().end(), [this](const auto& one, const auto& other) {
-            return uses_.since(one.first) < uses_.since(other.first);
+        table.clients().begin(), table.clients().end(), [&](const auto& one, const auto& other) {
+            return progressed_at(one.first) < progressed_at(other.first);
         });
     return longest->first;
 }
 
 void ClientListener::reject_longest_partial_message() {
-    const ClientId longest = longest_unchanged(partial_messages_);
+    const ClientId longest = longest_stalled(partial_messages_);
     partial_messages_.erase(longest);
     (*connections_.find(longest.value))->reject(ClientError::too_many_partial_messages);
 }
 
 // The client can't be told: what it would have to read first is the answer that it does not take.
 void ClientListener::close_longest_unread() {
-    const ClientId longest = longest_unchanged(unread_answers_);
+    const ClientId longest = longest_stalled(unread_answers_);
     connection_rejected(ClientError::answers_not_read);
     remove(longest);
 }
@@ -191,7 +193,11 @@
     if (clock_now() - since < min_idle) {
         return false;
     }
+    // The use is updated only after a message has been handled, which may ask for room itself.
     ClientConnection& connection = **connections_.find(client);
+    if (connection.has_request()) {
+        return false;
+    }
     return use == ClientUse::idle ? connection.is_idle() : !connection.has_unread_input();
 }
 
--- a/src/net/client_listener.hpp
+++ b/src/net/client_listener.hpp
@@ -96,7 +96,7 @@
     void close_excess_idle_later();
     void reject_longest_partial_message();
     void close_longest_unread();
-    ClientId longest_unchanged(const ClientMemoryTable& table) const;
+    ClientId longest_stalled(const ClientMemoryTable& table);
     void accept_clients();
     bool accept_client();
     void pause_accepting();
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -142,6 +142,12 @@
 constexpr Seconds kReadyTimeout = 5;
 // Clients may still connect for up to 0.4 s after SIGTERM; the sidecar serves them for this time.
 constexpr Seconds kShutdownOverlapDuration = 0.45;
+// SIGKILL follows SIGTERM after the longest time limit of a request class, but after no more than
+// the maximum here, and the extra time. What is not answered by then is lost.
+constexpr Seconds kMaxTimeLimitAtShutdown = 3;
+constexpr Seconds kExtraTimeAtShutdown = 0.7;
+// Part of that time that is reserved for writing the last answers.
+constexpr Seconds kShutdownWriteMargin = 0.15;
 // How long a shutdown waits for a client that sends no more of an incomplete message, or takes no
 // more of an answer.
 constexpr Seconds kStalledClientTimeout = 1;
--- a/src/net/request_id_table.cpp
+++ b/src/net/request_id_table.cpp
@@ -1,6 +1,7 @@
 #include "net/request_id_table.hpp"
 
 #include <functional>
+#include <utility>
 
 #include "net/limits.hpp"
 
@@ -23,7 +24,11 @@
 }
 
 void RequestIdTable::answered(RequestIdDigest id, ClientId client) {
-    last_answered_[client] = id;
+    const auto [last, added] = last_answered_.emplace(client, id);
+    if (!added) {
+        // Requests with overlapping attempts may be settled after the client has sent the next one.
+        release(std::exchange(last->second, id));
+    }
 }
 
 void RequestIdTable::remember(RequestIdDigest id, Seconds now) {
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstring>
 #include <stdexcept>
+#include <utility>
 
 #include "net/check_invariant.hpp"
 #include "net/limits.hpp"
@@ -59,7 +60,11 @@
 }
 
 void Sidecar::shut_down() {
-    shutting_down_ = true;
+    if (!std::exchange(shutting_down_, true)) {
+        shutdown_deadline_ = clock_now() - kShutdownOverlapDuration + kExtraTimeAtShutdown -
+                             kShutdownWriteMargin +
+                             std::min(longest_time_limit(settings_), kMaxTimeLimitAtShutdown);
+    }
     clients_.shut_down();
     loop_.timers.at(clock_now() + kClientLingerTimeout / 10, [this] { shut_down(); });
 }
@@ -227,6 +232,9 @@
     }
     open.key = object_key_of(query.record);
     open.deadline = arrived_at + std::max(0.0, query.budget - kAnswerWriteMargin);
+    if (shutting_down_) {
+        open.deadline = std::min(open.deadline, shutdown_deadline_);
+    }
     counters_.admitted_late += clock_now() - arrived_at > kSuspensionThreshold ? 1 : 0;
     ++counters_.admitted;
     return requests_.add(std::move(open));
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -45,7 +45,7 @@
     Sidecar(const Sidecar&) = delete;
     Sidecar& operator=(const Sidecar&) = delete;
     // Stops accepting clients and closes each client connection as soon as it is between two
-    // requests.
+    // requests. Called kShutdownOverlapDuration after SIGTERM.
     void shut_down();
     // Applies the parts of the configuration that can change at run time. `since` is the earliest
     // time at which the SIGHUP can have been sent.
@@ -174,6 +174,7 @@
     bool has_endpoints_ = false;   // a list with at least one entry has been received
     bool list_confirmed_ = false;  // the list was confirmed at least once since the start
     bool shutting_down_ = false;
+    Seconds shutdown_deadline_ = 0;  // every answer is due by then; valid while shutting down
     const bool overlapping_attempts_;
     Seconds decided_at_ = 0;  // the time of the latest call to the routing policy
     const Seconds ready_by_;  // from this time on clients are served in any case
--- a/tests/net/client_shutdown_test.cpp
+++ b/tests/net/client_shutdown_test.cpp
@@ -82,6 +82,29 @@
     CHECK(sidecar.wait_for_exit() == 0);
 }
 
+// Guards against a request that is taken late in a shutdown, for longer than the process may run:
+// SIGKILL would find it unanswered.
+TEST_CASE("SIGTERM: a request that is taken late is answered before the earliest SIGKILL") {
+    SidecarFixture sidecar(1);
+    allow_long_requests(sidecar);
+    sidecar.start_connected();
+    TestConnection client = sidecar.client();
+    sidecar.signal(SIGTERM);
+    const double signalled_at = now();
+    const double earliest_kill = signalled_at + kMaxTimeLimitAtShutdown + kExtraTimeAtShutdown;
+    const std::string query = request("read", kLongBudget);
+    std::size_t sent = 0;
+    while (now() < signalled_at + kMaxTimeLimitAtShutdown) {
+        client.send(std::string_view(query).substr(sent++, 1));
+        sleep_for(kStalledClientTimeout / 2);
+    }
+    client.send(std::string_view(query).substr(sent));
+    TestConnection endpoint = sidecar.queried_endpoint();  // never answers
+    CHECK(client.read_answer().starts_with("!"));
+    CHECK(now() < earliest_kill);
+    CHECK(sidecar.wait_for_exit(earliest_kill - now()) == 0);
+}
+
 // Guards against input that is read and dropped after the sidecar has ended a connection.
 TEST_CASE("SIGTERM: a client that has stalled is told that trying again does no harm") {
     SidecarFixture sidecar(1);
