--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -102,6 +102,9 @@
 void ClientConnection::on_received() {
     const std::size_t arrived_bytes = in_.size();
     const Seconds began = clock_now();
+    if (seen_bytes_ == 0) {
+        message_began_ = began;
+    }
     while (!ending_ && !request_ && !closed() && !in_.empty() && all_written()) {
         if (!pacer_.allows(began)) {
             loop_.timers.cancel(resume_timer_);  // may be due in this pass
--- a/tests/net/client_connection_test.cpp
+++ b/tests/net/client_connection_test.cpp
@@ -115,6 +115,25 @@
     CHECK(still.closed_by_peer(0.5));
 }
 
+// Guards against the time of a message that counts from the message before it: one that is read in
+// more than one pass then fails at once.
+TEST_CASE("a large statement is served after its connection has rested") {
+    SidecarFixture sidecar(1);
+    sidecar.start_connected();
+    TestConnection client = sidecar.client();
+    client.send(pg::query(""));
+    REQUIRE(client.read_answer() == "empty");
+    sleep_for(kPartialMessageTimeout + 0.5);
+    const std::string query =
+        padded_request(GENERATE(as<std::size_t>{}, 3'000, 5'000, 20'000, 150'000));
+    client.send(std::string_view(query).substr(0, query.size() / 2));
+    sleep_for(kSilenceWindow / 4);
+    client.send(std::string_view(query).substr(query.size() / 2));
+    TestConnection endpoint = sidecar.queried_endpoint();
+    endpoint.send(success_response("served"));
+    CHECK(client.read_answer() == "served");
+}
+
 TEST_CASE(
     "without free descriptors idle connections are closed and requests are served without "
     "spinning") {
