--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -31,8 +31,7 @@
 
 void ClientConnection::begin(ClientId client, int fd) {
     client_ = client;
-    message_began_ = clock_now();
-    progressed_at_ = message_began_;
+    progressed_at_ = clock_now();
     adopt(fd);
     update_state();
 }
@@ -100,7 +99,7 @@
 }
 
 void ClientConnection::on_received() {
-    const std::size_t arrived_bytes = in_.size();
+    const bool has_grown = in_.size() > seen_bytes_;
     const Seconds began = clock_now();
     if (seen_bytes_ == 0) {
         message_began_ = began;
@@ -118,12 +117,11 @@
         state_ = State::none;  // restarts the time limit of the state for the next message
         message_began_ = clock_now();
     }
-    if (arrived_bytes > seen_bytes_) {
+    if (has_grown) {
         progressed_at_ = clock_now();
     }
-    if (state_ == State::partial_message && arrived_bytes > seen_bytes_) {
-        // The message has grown, so its time limit starts again.
-        state_ = State::none;
+    if (has_grown && state_ == State::partial_message) {
+        state_ = State::none;  // the message has grown, so its time limit starts again
     }
     seen_bytes_ = in_.size();
     if (ending_) {
--- a/src/net/limits.hpp
+++ b/src/net/limits.hpp
@@ -146,8 +146,6 @@
 // the maximum here, and the extra time. What is not answered by then is lost.
 constexpr Seconds kMaxTimeLimitAtShutdown = 3;
 constexpr Seconds kExtraTimeAtShutdown = 0.7;
-// Part of that time that is reserved for writing the last answers.
-constexpr Seconds kShutdownWriteMargin = 0.15;
 // How long a shutdown waits for a client that sends no more of an incomplete message, or takes no
 // more of an answer.
 constexpr Seconds kStalledClientTimeout = 1;
--- a/src/net/open_requests.hpp
+++ b/src/net/open_requests.hpp
@@ -28,7 +28,6 @@
     int attempts = 0;  // number of attempts made so far
     int attempts_in_flight = 0;
     bool concluded = false;     // the request was answered, or its client has disconnected
-    bool abandoned = false;     // its client disconnected before it was answered
     bool may_have_run = false;  // by the outcomes of its attempts so far
     // Always idempotent if there is no duplicate-effect guard.
     Effect effect = Effect::idempotent;
--- a/src/net/ring_buffer.hpp
+++ b/src/net/ring_buffer.hpp
@@ -37,7 +37,7 @@
     // reached.
     std::span<char> free_space() {
         if (size_ == storage_.size()) {
-            resize(std::min(max_bytes_, std::max(kInitialBufferBytes, 2 * storage_.size())));
+            grow_to(size_ + 1);
         }
         if (size_ == storage_.size()) {
             return {};
@@ -55,8 +55,7 @@
             return false;
         }
         if (size_ + bytes.size() > storage_.size()) {
-            resize(std::min(max_bytes_, std::max({kInitialBufferBytes, size_ + bytes.size(),
-                                                  2 * storage_.size()})));
+            grow_to(size_ + bytes.size());
         }
         while (!bytes.empty()) {
             const auto free_bytes = free_space();
@@ -88,6 +87,11 @@
     }
 
   private:
+    // Makes room for at least so many bytes as far as the limit allows, and for twice the present
+    // ones, so that many small additions seldom move the bytes.
+    void grow_to(std::size_t bytes) {
+        resize(std::min(max_bytes_, std::max({kInitialBufferBytes, bytes, 2 * storage_.size()})));
+    }
     void resize(std::size_t bytes) {
         std::vector<char> resized(bytes);
         const std::string_view head = contiguous_front();
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -62,7 +62,7 @@
 void Sidecar::shut_down() {
     if (!std::exchange(shutting_down_, true)) {
         shutdown_deadline_ = clock_now() - kShutdownOverlapDuration + kExtraTimeAtShutdown -
-                             kShutdownWriteMargin +
+                             kMaxWriteDelay +
                              std::min(longest_time_limit(settings_), kMaxTimeLimitAtShutdown);
     }
     clients_.shut_down();
@@ -264,7 +264,6 @@
     }
     ++counters_.abandoned;
     open->concluded = true;
-    open->abandoned = true;
     policy_->request_abandoned(decision_time(), request);
     endpoints_.withdraw_undelivered(request);
     if (const auto attempt = take_guarded_attempt(request)) {
@@ -285,11 +284,12 @@
     requests_.remove(request);
 }
 
-// No attempt of the request is in flight any more, so it is known whether it may have run.
+// No attempt of the request is in flight any more, so it is known whether it may have run. The end
+// of the client's connection, if it is still to come, is told by connection_ended().
 void Sidecar::settle_id(const OpenRequest& open) {
     if (!open.may_have_run) {
         request_ids_.release(open.id);
-    } else if (open.abandoned || !clients_.has_client(open.client)) {
+    } else if (!clients_.has_client(open.client)) {
         request_ids_.remember(open.id, clock_now());
     } else {
         request_ids_.answered(open.id, open.client);
--- a/tests/net/sidecar_fixture.hpp
+++ b/tests/net/sidecar_fixture.hpp
@@ -45,6 +45,12 @@
         }
         (void)!std::system(("rm -r " + folder_).c_str());
     }
+    // Sets the time limit of all request classes.
+    void set_time_limits(double seconds) {
+        for (json& each : config["settings"]["classes"]) {
+            each["deadlineUs"] = static_cast<long>(seconds * 1e6);
+        }
+    }
     // What the process runs: reads the configuration at the path and does not return.
     using Program = std::function<void(const std::string& config_path)>;
     // Starts the process; by default it runs the program.
